--- /dev/null
+++ b/src/chervilstage/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O, clock or encoding."""
--- /dev/null
+++ b/src/chervilstage/errors/__init__.py
@@ -0,0 +1,7 @@
+"""Typed errors with codes."""
+
+from __future__ import annotations
+
+from .base import ChervilstageError, error_types
+
+__all__ = ["ChervilstageError", "error_types"]
--- /dev/null
+++ b/src/chervilstage/errors/base.py
@@ -0,0 +1,34 @@
+"""The base of all errors of this project."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+
+class ChervilstageError(Exception):
+    """A failure with a stable code.
+
+    Each subclass sets ``code`` and ``template``; the template names the fields that
+    the caller of the constructor has to give.
+
+    :param fields: the values that the template names.
+    """
+
+    code: ClassVar[str] = "CS-GENERAL-000"
+    template: ClassVar[str] = "unspecified failure"
+    retryable: ClassVar[bool] = False
+
+    def __init__(self, **fields: object) -> None:
+        self.fields = fields
+        super().__init__(self.template.format_map(fields))
+
+
+def error_types() -> list[type[ChervilstageError]]:
+    """Return every error type that has been imported, ordered by code."""
+    found: set[type[ChervilstageError]] = set()
+    pending = [ChervilstageError]
+    while pending:
+        for child in pending.pop().__subclasses__():
+            found.add(child)
+            pending.append(child)
+    return sorted(found, key=lambda error: error.code)
--- /dev/null
+++ b/src/chervilstage/errors/settings.py
@@ -0,0 +1,33 @@
+"""Errors of settings files and operators' documents."""
+
+from __future__ import annotations
+
+from .base import ChervilstageError
+
+
+class FileUnreadableError(ChervilstageError):
+    """A file cannot be read."""
+
+    code = "CS-SETTINGS-001"
+    template = "{file}: {reason}"
+
+
+class TomlSyntaxError(ChervilstageError):
+    """A file is not valid TOML."""
+
+    code = "CS-SETTINGS-002"
+    template = "{file}: not valid TOML: {reason}"
+
+
+class DocumentError(ChervilstageError):
+    """A TOML document breaks its schema; lists every problem found."""
+
+    code = "CS-SETTINGS-003"
+    template = "{file}: {problems}"
+
+
+class KeyFileError(ChervilstageError):
+    """A key file is empty or too short."""
+
+    code = "CS-SETTINGS-004"
+    template = "{file}: a key needs at least {minimum} bytes"
--- /dev/null
+++ b/src/chervilstage/errors/upstreams.py
@@ -0,0 +1,34 @@
+"""Errors of upstream registration and selection."""
+
+from __future__ import annotations
+
+from .base import ChervilstageError
+
+
+class AnnouncementError(ChervilstageError):
+    """An announcement breaks its schema."""
+
+    code = "CS-UPSTREAM-001"
+    template = "announcement refused: {reason}"
+
+
+class UnknownServiceError(ChervilstageError):
+    """A service is not in the inventory."""
+
+    code = "CS-UPSTREAM-002"
+    template = "no service named {service}"
+
+
+class UnknownDataCentreError(ChervilstageError):
+    """A data centre is not in the inventory."""
+
+    code = "CS-UPSTREAM-003"
+    template = "no data centre named {data_centre}"
+
+
+class NoUpstreamError(ChervilstageError):
+    """No upstream of the service can take new work."""
+
+    code = "CS-UPSTREAM-004"
+    template = "no upstream of {service} can take new work"
+    retryable = True
--- /dev/null
+++ b/src/chervilstage/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/src/chervilstage/programs/running.py
@@ -0,0 +1,37 @@
+"""What the programs share: running an application and reporting typed errors."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from collections.abc import Callable
+from typing import NoReturn
+
+import anyio
+
+from ..errors import ChervilstageError
+from ..transport.application import Application
+from ..transport.event_log import configure_logging, log_event
+
+EXIT_ERROR = 1
+EXIT_SETTINGS = 2
+
+
+def run_daemon(build: Callable[[], Application], log_level: str) -> None:
+    """Build an application on the event loop and run it until it is stopped."""
+    configure_logging(log_level)
+
+    async def main() -> None:
+        await build().run()
+
+    try:
+        anyio.run(main)
+    except ChervilstageError as error:
+        exit_with(error, EXIT_ERROR)
+
+
+def exit_with(error: ChervilstageError, status: int) -> NoReturn:
+    """Log a typed error and exit."""
+    configure_logging("info")
+    log_event("failed", level=logging.ERROR, code=error.code, reason=error)
+    sys.exit(status)
--- /dev/null
+++ b/src/chervilstage/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of messages and documents."""
--- /dev/null
+++ b/src/chervilstage/protocol/documents.py
@@ -0,0 +1,221 @@
+"""The inventory and the rules as documents in TOML and JSON."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Annotated, Any, NotRequired
+
+from pydantic import ConfigDict, Field, StringConstraints, TypeAdapter, with_config
+from typing_extensions import TypedDict
+
+from ..errors.settings import DocumentError
+from ..state.configuration import (
+    Configuration,
+    DataCentre,
+    Inventory,
+    RequestMatch,
+    Rules,
+    Service,
+    ServiceRules,
+)
+from .validation import read_toml, validate, validate_json
+
+Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Port = Annotated[int, Field(ge=1, le=65535)]
+STRICT = ConfigDict(extra="forbid")
+
+
+@with_config(STRICT)
+class DataCentreDocument(TypedDict):
+    """A data centre in the inventory document."""
+
+    name: Name
+    region: NotRequired[str]
+
+
+@with_config(STRICT)
+class ServiceDocument(TypedDict):
+    """A service in the inventory document."""
+
+    name: Name
+    data_centres: Annotated[list[Name], Field(min_length=1)]
+    udp_port: Port
+    tcp_port: Port
+    slots: NotRequired[Annotated[int, Field(ge=1, le=10_000)]]
+    flow_idle_seconds: NotRequired[Annotated[float, Field(gt=0)]]
+    max_flows: NotRequired[Annotated[int, Field(ge=1)]]
+
+
+@with_config(STRICT)
+class InventoryDocument(TypedDict):
+    """The inventory document."""
+
+    data_centres: list[DataCentreDocument]
+    services: list[ServiceDocument]
+
+
+@with_config(STRICT)
+class RequestMatchDocument(TypedDict):
+    """A pattern of requests in the rules document."""
+
+    method: Annotated[str, StringConstraints(pattern=r"^[A-Z]{1,16}$")]
+    path_prefix: Annotated[str, StringConstraints(pattern=r"^/")]
+
+
+@with_config(STRICT)
+class ServiceRulesDocument(TypedDict):
+    """The rules of one service in the rules document."""
+
+    service: Name
+    idempotent: NotRequired[list[RequestMatchDocument]]
+    retry_budget: NotRequired[Annotated[float, Field(ge=0, le=1)]]
+    timeout_ms: NotRequired[Annotated[int, Field(ge=1, le=3_600_000)]]
+    max_body_bytes: NotRequired[Annotated[int, Field(ge=0)]]
+
+
+@with_config(STRICT)
+class RulesDocument(TypedDict):
+    """The rules document; ``out`` names data centres out of service."""
+
+    services: NotRequired[list[ServiceRulesDocument]]
+    out: NotRequired[list[Name]]
+
+
+class ConfigurationDocument(TypedDict):
+    """A whole revision of the configuration."""
+
+    revision: int
+    inventory: InventoryDocument
+    rules: RulesDocument
+
+
+INVENTORY = TypeAdapter(InventoryDocument)
+RULES = TypeAdapter(RulesDocument)
+CONFIGURATION = TypeAdapter(ConfigurationDocument)
+
+
+def parse_inventory(document: Any, source: str) -> Inventory:
+    """Turn an inventory document into its record.
+
+    :param source: the file name for error messages.
+    :raises DocumentError: the document breaks its schema or repeats a name.
+    """
+    checked: InventoryDocument = validate(INVENTORY, document, source)
+    data_centres = tuple(DataCentre(**item) for item in checked["data_centres"])
+    services = tuple(_service(item) for item in checked["services"])
+    problems = _repeated("data_centres", (d.name for d in data_centres))
+    problems += _repeated("services", (s.name for s in services))
+    problems += _repeated("services.udp_port", (s.udp_port for s in services))
+    problems += _repeated("services.tcp_port", (s.tcp_port for s in services))
+    if problems:
+        raise DocumentError(file=source, problems="; ".join(problems))
+    return Inventory(data_centres=data_centres, services=services)
+
+
+def parse_rules(document: Any, source: str) -> tuple[Rules, frozenset[str]]:
+    """Turn a rules document into the rules and the data centres out of service.
+
+    :raises DocumentError: the document breaks its schema or repeats a name.
+    """
+    checked: RulesDocument = validate(RULES, document, source)
+    services = tuple(_service_rules(item) for item in checked.get("services", ()))
+    problems = _repeated("services", (s.service for s in services))
+    if problems:
+        raise DocumentError(file=source, problems="; ".join(problems))
+    return Rules(services=services), frozenset(checked.get("out", ()))
+
+
+def read_inventory(path: Path) -> Inventory:
+    """Read an inventory file."""
+    return parse_inventory(read_toml(path), str(path))
+
+
+def read_rules(path: Path) -> tuple[Rules, frozenset[str]]:
+    """Read a rules file."""
+    return parse_rules(read_toml(path), str(path))
+
+
+def inventory_document(inventory: Inventory) -> InventoryDocument:
+    """Return the document of an inventory."""
+    document: InventoryDocument = {
+        "data_centres": [
+            {"name": d.name, "region": d.region} for d in inventory.data_centres
+        ],
+        "services": [
+            {
+                "name": s.name,
+                "data_centres": list(s.data_centres),
+                "udp_port": s.udp_port,
+                "tcp_port": s.tcp_port,
+                "slots": s.slots,
+                "flow_idle_seconds": s.flow_idle_seconds,
+                "max_flows": s.max_flows,
+            }
+            for s in inventory.services
+        ],
+    }
+    return document
+
+
+def rules_document(rules: Rules, out: frozenset[str]) -> RulesDocument:
+    """Return the document of the rules and the data centres out of service."""
+    services: list[ServiceRulesDocument] = [
+        {
+            "service": s.service,
+            "idempotent": [
+                {"method": m.method, "path_prefix": m.path_prefix} for m in s.idempotent
+            ],
+            "retry_budget": s.retry_budget,
+            "timeout_ms": s.timeout_ms,
+            "max_body_bytes": s.max_body_bytes,
+        }
+        for s in rules.services
+    ]
+    return {"services": services, "out": sorted(out)}
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return the JSON encoding of a configuration."""
+    return CONFIGURATION.dump_json(
+        {
+            "revision": configuration.revision,
+            "inventory": inventory_document(configuration.inventory),
+            "rules": rules_document(configuration.rules, configuration.out),
+        }
+    )
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Decode the JSON encoding of a configuration.
+
+    :raises DocumentError: the bytes are not a configuration.
+    """
+    document = validate_json(CONFIGURATION, data, "configuration")
+    rules, out = parse_rules(document["rules"], "configuration")
+    return Configuration(
+        revision=document["revision"],
+        inventory=parse_inventory(document["inventory"], "configuration"),
+        rules=rules,
+        out=out,
+    )
+
+
+def _service(item: ServiceDocument) -> Service:
+    fields: dict[str, Any] = {**item, "data_centres": tuple(item["data_centres"])}
+    return Service(**fields)
+
+
+def _service_rules(item: ServiceRulesDocument) -> ServiceRules:
+    matches = tuple(RequestMatch(**match) for match in item.get("idempotent", ()))
+    fields: dict[str, Any] = {**item, "idempotent": matches}
+    return ServiceRules(**fields)
+
+
+def _repeated(key: str, names: Iterable[str | int]) -> list[str]:
+    return [
+        f"{key}: {name} appears {count} times"
+        for name, count in Counter(names).items()
+        if count > 1
+    ]
--- /dev/null
+++ b/src/chervilstage/protocol/kinds.py
@@ -0,0 +1,37 @@
+"""The kinds of messages between the processes of the system."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class Kind(IntEnum):
+    """A message kind; each subject has a range of its own."""
+
+    HEARTBEAT = 1
+    LEAVE = 2
+
+    VIEW_PREPARE = 20
+    VIEW_PREPARED = 21
+    VIEW_ACTIVATE = 22
+    PIN_QUERY = 23
+    PIN_ANSWER = 24
+    PIN_LIST = 25
+    PIN_LIST_ACK = 26
+
+    UPSTREAM_RECORDS = 40
+    UPSTREAM_DIGEST = 41
+    CAPACITY_REQUEST = 42
+    CAPACITY_GRANT = 43
+    CAPACITY_RETURN = 44
+
+    RECORD_COPY = 60
+    RECORD_FETCH = 61
+    REQUEST_RELAY = 62
+
+    VOTE = 80
+    APPEND = 81
+    SNAPSHOT = 82
+
+    CONFIGURATION_FETCH = 100
+    STATUS = 101
--- /dev/null
+++ b/src/chervilstage/protocol/schema/upstreams.capnp
@@ -0,0 +1,18 @@
+@0xd0f4b6c18e2a7753;
+
+struct UpstreamRecord {
+  host @0 :Text;
+  port @1 :UInt16;
+  requestPort @2 :UInt16;
+  incarnation @3 :UInt64;
+  service @4 :Text;
+  dataCentre @5 :Text;
+  sequence @6 :UInt64;
+  leaving @7 :Bool;
+  slots @8 :UInt16;
+  load @9 :UInt16;
+}
+
+struct UpstreamRecords {
+  records @0 :List(UpstreamRecord);
+}
--- /dev/null
+++ b/src/chervilstage/protocol/upstream_messages.py
@@ -0,0 +1,55 @@
+"""Encoding of upstream records between entries."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
+from .schemas import pack, schema, unpack
+
+
+def encode_records(records: Sequence[UpstreamRecord]) -> bytes:
+    """Return the encoding of upstream records."""
+    message = schema("upstreams").UpstreamRecords.new_message()
+    items = message.init("records", len(records))
+    for item, record in zip(items, records, strict=True):
+        _write(item, record)
+    return pack(message)
+
+
+def decode_records(data: bytes) -> list[UpstreamRecord]:
+    """Decode upstream records.
+
+    :raises EnvelopeFormatError: the bytes are not upstream records.
+    """
+    message = unpack(schema("upstreams").UpstreamRecords, data)
+    return [_read(item) for item in message.records]
+
+
+def _write(item: Any, record: UpstreamRecord) -> None:
+    item.host, item.port = record.identity.address
+    item.requestPort = record.request_address.port
+    item.incarnation = record.identity.incarnation
+    item.service = record.identity.service
+    item.dataCentre = record.data_centre
+    item.sequence = record.sequence
+    item.leaving = record.phase is UpstreamPhase.LEAVING
+    item.slots = record.slots
+    item.load = record.load
+
+
+def _read(item: Any) -> UpstreamRecord:
+    return UpstreamRecord(
+        identity=UpstreamId(
+            address=Address(host=item.host, port=item.port),
+            incarnation=item.incarnation,
+            service=item.service,
+        ),
+        request_address=Address(host=item.host, port=item.requestPort),
+        data_centre=item.dataCentre,
+        sequence=item.sequence,
+        phase=UpstreamPhase.LEAVING if item.leaving else UpstreamPhase.READY,
+        slots=item.slots,
+        load=item.load,
+    )
--- /dev/null
+++ b/src/chervilstage/protocol/validation.py
@@ -0,0 +1,59 @@
+"""Validation of documents against ``TypedDict`` schemas."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
+
+from ..errors.settings import DocumentError, FileUnreadableError, TomlSyntaxError
+
+
+def read_toml(path: Path) -> dict[str, Any]:
+    """Read a TOML file.
+
+    :raises FileUnreadableError: the file cannot be read.
+    :raises TomlSyntaxError: the file is not valid TOML.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise FileUnreadableError(file=path, reason=error) from error
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise TomlSyntaxError(file=path, reason=error) from error
+
+
+def problems_of(error: ValidationError) -> list[str]:
+    """Return one ``key: reason`` text for each problem."""
+    return [
+        f"{'.'.join(str(part) for part in item['loc']) or 'document'}: {item['msg']}"
+        for item in error.errors()
+    ]
+
+
+def validate(adapter: TypeAdapter[Any], document: Any, source: str) -> Any:
+    """Check a document against a schema.
+
+    :raises DocumentError: the document breaks the schema.
+    """
+    try:
+        return adapter.validate_python(document, strict=True)
+    except ValidationError as error:
+        problems = "; ".join(problems_of(error))
+        raise DocumentError(file=source, problems=problems) from error
+
+
+def validate_json(adapter: TypeAdapter[Any], data: bytes, source: str) -> Any:
+    """Check a JSON document against a schema.
+
+    :raises DocumentError: the bytes are no JSON or break the schema.
+    """
+    try:
+        return adapter.validate_json(data, strict=True)
+    except ValidationError as error:
+        problems = "; ".join(problems_of(error))
+        raise DocumentError(file=source, problems=problems) from error
--- /dev/null
+++ b/src/chervilstage/state/__init__.py
@@ -0,0 +1,1 @@
+"""Records and the classes that hold state."""
--- /dev/null
+++ b/src/chervilstage/state/configuration.py
@@ -0,0 +1,124 @@
+"""The configuration that operators change."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class DataCentre(NamedTuple):
+    """A data centre of the inventory."""
+
+    name: str
+    region: str = ""
+
+
+class Service(NamedTuple):
+    """A service of the inventory.
+
+    ``flow_idle_seconds`` is how long a flow may be silent before its pin expires.
+    """
+
+    name: str
+    data_centres: tuple[str, ...]
+    udp_port: int
+    tcp_port: int
+    slots: int = 4
+    flow_idle_seconds: float = 300.0
+    max_flows: int = 400_000
+
+
+class Inventory(NamedTuple):
+    """What exists where."""
+
+    data_centres: tuple[DataCentre, ...] = ()
+    services: tuple[Service, ...] = ()
+
+
+class RequestMatch(NamedTuple):
+    """A pattern of requests: a method and a prefix of the path."""
+
+    method: str
+    path_prefix: str
+
+
+class ServiceRules(NamedTuple):
+    """The rules of one service.
+
+    ``retry_budget`` is the share of first attempts that may be retried;
+    ``timeout_ms`` bounds a request that carries no deadline.
+    """
+
+    service: str
+    idempotent: tuple[RequestMatch, ...] = ()
+    retry_budget: float = 0.1
+    timeout_ms: int = 5_000
+    max_body_bytes: int = 8 * 1024 * 1024
+
+
+class Rules(NamedTuple):
+    """What operators want of the services."""
+
+    services: tuple[ServiceRules, ...] = ()
+
+
+class Configuration(NamedTuple):
+    """One revision of the configuration.
+
+    ``out`` names the data centres that are out of service.
+    """
+
+    revision: int = 0
+    inventory: Inventory = Inventory()
+    rules: Rules = Rules()
+    out: frozenset[str] = frozenset()
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of that name, if there is one."""
+        for service in self.inventory.services:
+            if service.name == name:
+                return service
+        return None
+
+    def service_rules(self, name: str) -> ServiceRules:
+        """Return the rules of a service, with defaults where none are set."""
+        for rules in self.rules.services:
+            if rules.service == name:
+                return rules
+        return ServiceRules(service=name)
+
+
+class Change(NamedTuple):
+    """A change that an operator asks for.
+
+    A field that is ``None`` stays as it is. ``base_revision`` is the revision that
+    the change was made from.
+    """
+
+    operation_id: str
+    operator: str
+    base_revision: int
+    inventory: Inventory | None = None
+    rules: Rules | None = None
+    out: frozenset[str] | None = None
+
+
+class ChangeOutcome(NamedTuple):
+    """What became of a change; kept so that a resend gets the same result.
+
+    ``code`` is empty where the change was accepted.
+    """
+
+    operation_id: str
+    operator: str
+    revision_before: int
+    revision_after: int
+    code: str
+    message: str
+
+
+def idempotent_by_rules(rules: ServiceRules, method: str, path: str) -> bool:
+    """Tell whether the operators' rules call a request idempotent."""
+    return any(
+        match.method == method and path.startswith(match.path_prefix)
+        for match in rules.idempotent
+    )
--- /dev/null
+++ b/src/chervilstage/state/in_force.py
@@ -0,0 +1,22 @@
+"""The configuration that a process has in force."""
+
+from __future__ import annotations
+
+from .configuration import Configuration
+
+
+class ConfigurationInForce:
+    """Holds the newest configuration seen; it never goes back to an older one."""
+
+    def __init__(self) -> None:
+        self.current = Configuration()
+
+    def take(self, configuration: Configuration) -> bool:
+        """Put a configuration in force if it is newer.
+
+        :returns: whether it was newer.
+        """
+        if configuration.revision <= self.current.revision:
+            return False
+        self.current = configuration
+        return True
--- /dev/null
+++ b/src/chervilstage/state/types.py
@@ -0,0 +1,56 @@
+"""Records that all layers share."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+class UpstreamPhase(StrEnum):
+    """What an upstream says of itself."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class UpstreamId(NamedTuple):
+    """The identity of one run of an upstream.
+
+    The service is a part of the identity, so that an address that changes hands
+    never receives packets of the service it served before.
+    """
+
+    address: Address
+    incarnation: int
+    service: str
+
+
+class UpstreamRecord(NamedTuple):
+    """The newest announcement of an upstream.
+
+    ``slots`` is the number of requests it runs at once; ``load`` is the number it
+    reports as running, which may lag or be wrong.
+    """
+
+    identity: UpstreamId
+    request_address: Address
+    data_centre: str
+    sequence: int
+    phase: UpstreamPhase
+    slots: int
+    load: int
+
+
+class Peer(NamedTuple):
+    """An entry VM of the same entry group, from the settings."""
+
+    name: str
+    data_centre: str
+    address: Address
--- /dev/null
+++ b/src/chervilstage/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, files and timers on one event loop."""
--- /dev/null
+++ b/src/chervilstage/transport/application.py
@@ -0,0 +1,91 @@
+"""The application object: owns the parts of a daemon and their clean-up."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from .event_log import log_event
+
+DEFAULT_DRAIN_SECONDS = 60.0
+EXIT_SECOND_SIGNAL = 130
+
+StartHook = Callable[[TaskGroup], Awaitable[None]]
+StopHook = Callable[[], Awaitable[None]]
+
+
+class Hooks(NamedTuple):
+    """The life-cycle hooks of one part.
+
+    ``start`` runs in order of registration. ``drain`` runs in reverse order on a
+    planned stop, while all parts still work; ``stop`` then runs in reverse order.
+    """
+
+    name: str
+    start: StartHook | None = None
+    drain: StopHook | None = None
+    stop: StopHook | None = None
+
+
+class Application:
+    """Runs the hooks of a daemon's parts between start and signal.
+
+    :param name: the name of the process for log lines.
+    :param drain_seconds: the bound of a planned stop.
+    """
+
+    def __init__(
+        self, *, name: str, drain_seconds: float = DEFAULT_DRAIN_SECONDS
+    ) -> None:
+        self.name = name
+        self.drain_seconds = drain_seconds
+        self.parts: list[Hooks] = []
+        self.stop_requested = anyio.Event()
+
+    def add(self, hooks: Hooks) -> None:
+        """Register the hooks of a part."""
+        self.parts.append(hooks)
+
+    async def run(self) -> None:
+        """Start all parts, wait for a signal, then drain and stop them."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.watch_signals)
+            for part in self.parts:
+                if part.start:
+                    await part.start(group)
+            log_event("started", process=self.name)
+            await self.stop_requested.wait()
+            await self.drain()
+            await self.stop_parts()
+            group.cancel_scope.cancel()
+        log_event("stopped", process=self.name)
+
+    async def drain(self) -> None:
+        """Drain all parts in reverse order within the bound."""
+        log_event("draining", process=self.name)
+        with anyio.move_on_after(self.drain_seconds) as scope:
+            for part in reversed(self.parts):
+                if part.drain:
+                    await part.drain()
+        if scope.cancelled_caught:
+            log_event("drain_incomplete", process=self.name, seconds=self.drain_seconds)
+
+    async def stop_parts(self) -> None:
+        """Stop all parts in reverse order."""
+        for part in reversed(self.parts):
+            if part.stop:
+                await part.stop()
+
+    async def watch_signals(self) -> None:
+        """Request a stop on the first signal and exit at once on the second."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                if self.stop_requested.is_set():
+                    log_event("stopped_by_second_signal", process=self.name)
+                    sys.exit(EXIT_SECOND_SIGNAL)
+                self.stop_requested.set()
--- /dev/null
+++ b/src/chervilstage/transport/datagrams.py
@@ -0,0 +1,59 @@
+"""Non-blocking datagram sockets that are read in bounded batches."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import anyio
+
+from ..state.types import Address
+
+BATCH = 64
+MAXIMUM_DATAGRAM_BYTES = 65_535
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+DatagramHandler = Callable[[bytes, tuple[str, int]], None]
+
+
+def open_datagram_socket(host: str, port: int) -> socket.socket:
+    """Return a bound non-blocking UDP socket; port 0 takes a free port."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.bind((host, port))
+    return sock
+
+
+def bound_address(sock: socket.socket) -> Address:
+    """Return the local address of a socket."""
+    host, port = sock.getsockname()[:2]
+    return Address(host=host, port=port)
+
+
+async def receive_datagrams(sock: socket.socket, handler: DatagramHandler) -> None:
+    """Pass each datagram to the handler until cancelled.
+
+    After a full batch the loop gives other tasks their turn.
+    """
+    receive = sock.recvfrom
+    while True:
+        await anyio.wait_readable(sock)
+        try:
+            for _ in range(BATCH):
+                data, sender = receive(MAXIMUM_DATAGRAM_BYTES)
+                handler(data, sender)
+        except BlockingIOError:
+            continue
+        except ConnectionRefusedError:
+            # Linux reports an ICMP error of an earlier send on the next receive.
+            continue
+
+
+def send_datagram(sock: socket.socket, data: bytes, to: tuple[str, int]) -> bool:
+    """Send one datagram and tell whether the kernel took it."""
+    try:
+        sock.sendto(data, to)
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -0,0 +1,82 @@
+"""Composition of the entry daemon."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ..protocol.settings import EntrySettings, peers_of
+from ..state.counters import Counters
+from ..state.in_force import ConfigurationInForce
+from ..state.registry import UpstreamRegistry
+from ..state.types import Address
+from .application import DEFAULT_DRAIN_SECONDS, Application
+from .configuration_client import ConfigurationClient
+from .frame_channel import FrameClient, FrameServer
+from .front_ends import FrontEnds
+from .metrics import metrics_hooks
+from .peer_link import PeerLink
+from .registration import Registration
+
+
+def build_entry(settings: EntrySettings, key: bytes) -> Application:
+    """Return the application of an entry.
+
+    :param key: the key that the processes of the system share.
+    """
+    name, host = settings["name"], settings["host"]
+    counters = Counters()
+    registry = UpstreamRegistry()
+    in_force = ConfigurationInForce()
+    peer_address = Address(host=host, port=settings["peer_port"])
+    frames = FrameClient(name=name, key=key, counters=counters)
+    frame_server = FrameServer(
+        name=name, address=peer_address, key=key, counters=counters
+    )
+    link = PeerLink(
+        name=name,
+        address=peer_address,
+        key=key,
+        peers=peers_of(settings.get("peers", [])),
+        counters=counters,
+    )
+    front_ends = FrontEnds(
+        host=host,
+        registry=registry,
+        in_force=in_force,
+        counters=counters,
+        rng=Random(),
+    )
+    registration = Registration(
+        address=Address(host=host, port=settings["platform_port"]),
+        registry=registry,
+        configuration=front_ends.configuration,
+        link=link,
+        counters=counters,
+    )
+    client = ConfigurationClient(
+        replicas=peers_of(settings.get("replicas", [])),
+        frames=frames,
+        in_force=in_force,
+        on_change=front_ends.reconcile,
+    )
+
+    def gauges() -> dict[str, float]:
+        return {
+            "flows_held": front_ends.flows_held(),
+            "revision_in_force": in_force.current.revision,
+            "upstreams_registered": len(registry.records),
+        }
+
+    app = Application(
+        name=name, drain_seconds=settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
+    )
+    app.add(
+        metrics_hooks(
+            address=Address(host=host, port=settings["metrics_port"]),
+            counters=counters,
+            gauges=gauges,
+        )
+    )
+    for part in (frames, frame_server, link, front_ends, registration, client):
+        app.add(part.hooks())
+    return app
--- /dev/null
+++ b/src/chervilstage/transport/event_log.py
@@ -0,0 +1,52 @@
+"""Logging: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+QUOTED = frozenset(' "=\n\r\t\\')
+
+
+class KeyValueFormatter(JsonFormatter):
+    """Render a record as ``key=value`` pairs instead of JSON."""
+
+    def jsonify_log_record(self, log_data: dict[str, Any]) -> str:
+        """Return the line of a record."""
+        return " ".join(f"{key}={_value(value)}" for key, value in log_data.items())
+
+
+def configure_logging(level: str) -> None:
+    """Send all records to standard error as key=value lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        KeyValueFormatter(
+            "%(asctime)s %(levelname)s",
+            rename_fields={"asctime": "time", "levelname": "level"},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+
+
+def log_event(event: str, /, *, level: int = logging.INFO, **fields: object) -> None:
+    """Log one event.
+
+    :param event: the name of the event, in snake case.
+    :param level: the level of the standard logging module.
+    :param fields: the values to show.
+    """
+    logging.getLogger("chervilstage").log(level, {"event": event, **fields})
+
+
+def _value(value: object) -> str:
+    text = str(value)
+    if text and not QUOTED & set(text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
+    return f'"{escaped}"'
--- /dev/null
+++ b/src/chervilstage/transport/front_ends.py
@@ -0,0 +1,108 @@
+"""Opens and closes the front ends of services as the configuration changes."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import NamedTuple
+
+import anyio
+from anyio import CancelScope
+from anyio.abc import TaskGroup
+
+from ..state.configuration import Configuration, Service
+from ..state.counters import Counters
+from ..state.in_force import ConfigurationInForce
+from ..state.registry import UpstreamRegistry
+from .application import Hooks
+from .http_front import HttpFrontEnd
+from .packet_relay import ServiceRelay
+
+
+class OpenFrontEnd(NamedTuple):
+    """The running front ends of one service."""
+
+    service: Service
+    relay: ServiceRelay
+    requests: HttpFrontEnd
+    scopes: tuple[CancelScope, ...]
+
+
+class FrontEnds:
+    """The front ends of all services of the inventory.
+
+    :param host: the address of this entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        registry: UpstreamRegistry,
+        in_force: ConfigurationInForce,
+        counters: Counters,
+        rng: Random,
+    ) -> None:
+        self.host = host
+        self.registry = registry
+        self.in_force = in_force
+        self.counters = counters
+        self.rng = rng
+        self.open: dict[str, OpenFrontEnd] = {}
+        self.group: TaskGroup | None = None
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.in_force.current
+
+    def reconcile(self) -> None:
+        """Close front ends that are not wanted any more and open new ones."""
+        wanted = {s.name: s for s in self.configuration().inventory.services}
+        for name, front_end in list(self.open.items()):
+            if wanted.get(name) != front_end.service:
+                self.close(name)
+        for name, service in wanted.items():
+            if name not in self.open:
+                self.open_service(service)
+
+    def open_service(self, service: Service) -> None:
+        """Open the front ends of a service."""
+        if self.group is None:
+            return
+        relay = ServiceRelay(
+            host=self.host,
+            service=service,
+            registry=self.registry,
+            configuration=self.configuration,
+            counters=self.counters,
+            clock=anyio.current_time,
+        )
+        requests = HttpFrontEnd(
+            host=self.host,
+            service=service,
+            registry=self.registry,
+            configuration=self.configuration,
+            counters=self.counters,
+            rng=self.rng,
+        )
+        scopes = (relay.start(self.group), requests.start(self.group))
+        self.open[service.name] = OpenFrontEnd(
+            service=service, relay=relay, requests=requests, scopes=scopes
+        )
+
+    def close(self, name: str) -> None:
+        """Close the front ends of a service."""
+        for scope in self.open.pop(name).scopes:
+            scope.cancel()
+
+    def flows_held(self) -> int:
+        """Return the number of pins over all services."""
+        return sum(len(f.relay.table.pins) for f in self.open.values())
+
+    async def start(self, group: TaskGroup) -> None:
+        """Keep the task group for front ends to run in."""
+        self.group = group
+        self.reconcile()
+
+    def hooks(self) -> Hooks:
+        """Return the life-cycle hooks."""
+        return Hooks(name="front_ends", start=self.start)
--- /dev/null
+++ b/src/chervilstage/transport/http_connection.py
@@ -0,0 +1,119 @@
+"""HTTP/1.1 over a byte stream, with h11 as the codec."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Iterable, Mapping
+from typing import NamedTuple
+
+import anyio
+import h11
+from anyio.abc import ByteStream
+
+from ..errors.requests import BodyTooLargeError, MalformedRequestError
+
+READ_BYTES = 65_536
+MAXIMUM_HEADER_BYTES = 32 * 1024
+
+Role = type[h11.CLIENT] | type[h11.SERVER]
+HeaderList = list[tuple[bytes, bytes]]
+
+
+class HttpRequest(NamedTuple):
+    """A whole request."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class HttpResponse(NamedTuple):
+    """A whole response."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class HttpConnection:
+    """One end of an HTTP/1.1 connection.
+
+    :param stream: the byte stream underneath.
+    :param role: ``h11.CLIENT`` or ``h11.SERVER``.
+    """
+
+    def __init__(self, *, stream: ByteStream, role: Role) -> None:
+        self.stream = stream
+        self.codec = h11.Connection(
+            role, max_incomplete_event_size=MAXIMUM_HEADER_BYTES
+        )
+
+    async def send(self, event: h11.Event) -> None:
+        """Send one event.
+
+        :raises anyio.BrokenResourceError: the other end has closed the stream.
+        """
+        data = self.codec.send(event)
+        if data:
+            await self.stream.send(data)
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next event of the other end.
+
+        :raises MalformedRequestError: the bytes are not HTTP/1.1.
+        """
+        while True:
+            try:
+                event = self.codec.next_event()
+            except h11.RemoteProtocolError as error:
+                raise MalformedRequestError(reason=error) from error
+            if isinstance(event, h11.Event) or event is h11.PAUSED:
+                return event
+            try:
+                data = await self.stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                data = b""
+            self.codec.receive_data(data)
+
+    async def body_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the chunks of the present message's body.
+
+        :raises MalformedRequestError: the body ends before its length.
+        """
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            else:
+                return
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return the whole body of the present message.
+
+        :raises BodyTooLargeError: the body is longer than the limit, in bytes.
+        """
+        body = bytearray()
+        async for chunk in self.body_chunks():
+            body += chunk
+            if len(body) > limit:
+                raise BodyTooLargeError(limit=limit)
+        return bytes(body)
+
+    def can_continue(self) -> bool:
+        """Tell whether another exchange can follow, and prepare for it."""
+        if self.codec.our_state is not h11.DONE:
+            return False
+        if self.codec.their_state is not h11.DONE:
+            return False
+        self.codec.start_next_cycle()
+        return True
+
+
+def header_map(headers: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Return headers by lower-case name."""
+    return {name.decode("latin-1"): value.decode("latin-1") for name, value in headers}
+
+
+def header_list(headers: Mapping[str, str]) -> HeaderList:
+    """Return headers as h11 takes them."""
+    return [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers.items()]
--- /dev/null
+++ b/src/chervilstage/transport/metrics.py
@@ -0,0 +1,66 @@
+"""The metrics endpoint of a daemon."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
+
+from anyio.abc import TaskGroup
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+from ..state.counters import Counters
+from ..state.types import Address
+from .application import Hooks
+from .http_connection import HttpRequest, HttpResponse
+from .http_server import start_http_server
+
+Gauges = Callable[[], Mapping[str, float]]
+
+
+class CountersCollector:
+    """Exports the counters and gauges of a process.
+
+    :param gauges: returns the present gauges by name.
+    """
+
+    def __init__(self, *, counters: Counters, gauges: Gauges) -> None:
+        self.counters = counters
+        self.gauges = gauges
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield the metric families."""
+        by_name: dict[str, list[tuple[str, int]]] = defaultdict(list)
+        for (name, label), value in self.counters.values.items():
+            by_name[name].append((label, value))
+        for name, samples in by_name.items():
+            family = CounterMetricFamily(
+                f"chervilstage_{name}", name.replace("_", " "), labels=["label"]
+            )
+            for label, value in samples:
+                family.add_metric([label], value)
+            yield family
+        for name, gauge in self.gauges().items():
+            yield GaugeMetricFamily(
+                f"chervilstage_{name}", name.replace("_", " "), value=gauge
+            )
+
+
+def metrics_hooks(*, address: Address, counters: Counters, gauges: Gauges) -> Hooks:
+    """Return the hooks of an endpoint that answers ``GET /metrics``."""
+    registry = CollectorRegistry()
+    registry.register(CountersCollector(counters=counters, gauges=gauges))
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        if request.method != "GET" or request.target != "/metrics":
+            return HttpResponse(status=404, headers={}, body=b"")
+        return HttpResponse(
+            status=200,
+            headers={"content-type": "text/plain; version=0.0.4"},
+            body=generate_latest(registry),
+        )
+
+    async def start(group: TaskGroup) -> None:
+        await start_http_server(group, address, answer)
+
+    return Hooks(name="metrics", start=start)
--- /dev/null
+++ b/testing/support/processes.py
@@ -0,0 +1,123 @@
+"""Start the programs as processes on loopback addresses of their own."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import tomli_w
+
+ROOT = Path(__file__).parent.parent.parent
+GENEROUS_SECONDS = 30.0
+POLL_SECONDS = 0.02
+
+host_numbers = itertools.count(1)
+
+
+class Started(NamedTuple):
+    """A started program and the file of its log lines."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    log: Path
+
+    def lines(self, event: str) -> list[str]:
+        """Return the log lines of an event."""
+        text = self.log.read_text(errors="replace")
+        return [line for line in text.splitlines() if f"event={event}" in line]
+
+    def ended(self) -> bool:
+        """Tell whether the process has ended."""
+        return self.process.poll() is not None
+
+    def field(self, event: str, key: str) -> str | None:
+        """Return a field of the first line of an event, if there is one."""
+        for line in self.lines(event):
+            found = re.search(rf"\b{key}=(\S+)", line)
+            if found:
+                return found.group(1)
+        return None
+
+
+def unique_host() -> str:
+    """Return a loopback address that no other test process uses.
+
+    Each process has a range of 127.0.0.0/8 of its own, so that fixed ports on these
+    addresses never collide.
+    """
+    number = (os.getpid() % 30_000) * 256 + next(host_numbers)
+    return f"127.{64 + (number >> 16)}.{(number >> 8) & 255}.{number & 255}"
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, seconds: float = GENEROUS_SECONDS
+) -> None:
+    """Wait until a condition holds.
+
+    :raises AssertionError: it does not hold within the generous limit.
+    """
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"not within {seconds} s: {what}")
+        time.sleep(POLL_SECONDS)
+
+
+class Processes:
+    """The programs that one test has started.
+
+    :param folder: where settings, logs and data go.
+    """
+
+    def __init__(self, *, folder: Path) -> None:
+        self.folder = folder
+        self.started: list[Started] = []
+
+    def start(self, name: str, program: str, arguments: Sequence[str]) -> Started:
+        """Start a program of the package and keep its log under its name."""
+        log = self.folder / f"{name}-{len(self.started)}.log"
+        with log.open("wb") as sink:
+            process = subprocess.Popen(
+                [sys.executable, "-m", f"chervilstage.programs.{program}", *arguments],
+                stdout=sink,
+                stderr=sink,
+                env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}"},
+            )
+        started = Started(name=name, process=process, log=log)
+        self.started.append(started)
+        return started
+
+    def start_with_settings(
+        self, name: str, program: str, settings: dict[str, object]
+    ) -> Started:
+        """Write a settings file and start a daemon with it."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        return self.start(name, program, [str(path)])
+
+    def run(self, program: str, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run a program to its end."""
+        return subprocess.run(
+            [sys.executable, "-m", f"chervilstage.programs.{program}", *arguments],
+            capture_output=True,
+            text=True,
+            env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}"},
+            timeout=GENEROUS_SECONDS,
+            check=False,
+        )
+
+    def close(self) -> None:
+        """Kill what is still running."""
+        for started in self.started:
+            if started.process.poll() is None:
+                started.process.send_signal(signal.SIGCONT)
+                started.process.kill()
+            started.process.wait()
