Add heartbeats and leases between the entries of a group

An entry's own lease holds only while every live peer has echoed a heartbeat sent less than a lease ago, so a frozen or cut-off entry knows by its own clock that its peers may have dropped it.

--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -7,12 +7,14 @@
 from ..protocol.settings import EntrySettings, peers_of
 from ..state.counters import Counters
 from ..state.in_force import ConfigurationInForce
+from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry
 from ..state.types import Address
 from .application import DEFAULT_DRAIN_SECONDS, Application
 from .configuration_client import ConfigurationClient
 from .frame_channel import FrameClient, FrameServer
 from .front_ends import FrontEnds
+from .membership import LEASE_SECONDS, Membership
 from .metrics import metrics_hooks
 from .peer_link import PeerLink
 from .registration import Registration
@@ -32,13 +34,17 @@
     frame_server = FrameServer(
         name=name, address=peer_address, key=key, counters=counters
     )
+    peers = peers_of(settings.get("peers", []))
     link = PeerLink(
+        name=name, address=peer_address, key=key, peers=peers, counters=counters
+    )
+    members = MemberTable(
         name=name,
-        address=peer_address,
-        key=key,
-        peers=peers_of(settings.get("peers", [])),
-        counters=counters,
+        data_centre=settings["data_centre"],
+        peers=peers,
+        lease_seconds=LEASE_SECONDS,
     )
+    membership = Membership(table=members, link=link)
     front_ends = FrontEnds(
         host=host,
         registry=registry,
@@ -53,11 +59,17 @@
         link=link,
         counters=counters,
     )
+
+    def on_configuration() -> None:
+        revision = in_force.current.revision
+        members.report = members.report._replace(revision=revision)
+        front_ends.reconcile()
+
     client = ConfigurationClient(
         replicas=peers_of(settings.get("replicas", [])),
         frames=frames,
         in_force=in_force,
-        on_change=front_ends.reconcile,
+        on_change=on_configuration,
     )
 
     def gauges() -> dict[str, float]:
@@ -65,6 +77,7 @@
             "flows_held": front_ends.flows_held(),
             "revision_in_force": in_force.current.revision,
             "upstreams_registered": len(registry.records),
+            "members_live": len(members.live()),
         }
 
     app = Application(
@@ -77,6 +90,15 @@
             gauges=gauges,
         )
     )
-    for part in (frames, frame_server, link, front_ends, registration, client):
+    parts = (
+        frames,
+        frame_server,
+        link,
+        membership,
+        front_ends,
+        registration,
+        client,
+    )
+    for part in parts:
         app.add(part.hooks())
     return app
