--- /dev/null
+++ b/src/chervilstage/state/capacity.py
@@ -0,0 +1,31 @@
+"""Permits for attempts at upstreams."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from .types import UpstreamRecord
+
+
+class AttemptResult(StrEnum):
+    """How an attempt at an upstream ended.
+
+    ``REFUSED`` means that the upstream said it did not run the request.
+    """
+
+    SUCCEEDED = "succeeded"
+    REFUSED = "refused"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+
+
+class Permit(NamedTuple):
+    """The right to run one request at an upstream.
+
+    ``granted_at`` is in monotonic seconds.
+    """
+
+    upstream: UpstreamRecord
+    granted_at: float
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -11,6 +11,7 @@
 from ..state.registry import UpstreamRegistry
 from ..state.types import Address
 from .application import DEFAULT_DRAIN_SECONDS, Application
+from .capacity import UpstreamCapacity
 from .configuration_client import ConfigurationClient
 from .frame_channel import FrameClient, FrameServer
 from .front_ends import FrontEnds
@@ -45,12 +46,15 @@
         lease_seconds=LEASE_SECONDS,
     )
     membership = Membership(table=members, link=link)
+    capacity = UpstreamCapacity(
+        registry=registry, configuration=lambda: in_force.current, rng=Random()
+    )
     front_ends = FrontEnds(
         host=host,
         registry=registry,
         in_force=in_force,
         counters=counters,
-        rng=Random(),
+        capacity=capacity,
     )
     registration = Registration(
         address=Address(host=host, port=settings["platform_port"]),
--- a/src/chervilstage/transport/front_ends.py
+++ b/src/chervilstage/transport/front_ends.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from random import Random
 from typing import NamedTuple
 
 import anyio
@@ -14,6 +13,7 @@
 from ..state.in_force import ConfigurationInForce
 from ..state.registry import UpstreamRegistry
 from .application import Hooks
+from .capacity import UpstreamCapacity
 from .http_front import HttpFrontEnd
 from .packet_relay import ServiceRelay
 
@@ -40,13 +40,13 @@
         registry: UpstreamRegistry,
         in_force: ConfigurationInForce,
         counters: Counters,
-        rng: Random,
+        capacity: UpstreamCapacity,
     ) -> None:
         self.host = host
         self.registry = registry
         self.in_force = in_force
         self.counters = counters
-        self.rng = rng
+        self.capacity = capacity
         self.open: dict[str, OpenFrontEnd] = {}
         self.group: TaskGroup | None = None
 
@@ -79,10 +79,8 @@
         requests = HttpFrontEnd(
             host=self.host,
             service=service,
-            registry=self.registry,
-            configuration=self.configuration,
+            capacity=self.capacity,
             counters=self.counters,
-            rng=self.rng,
         )
         scopes = (relay.start(self.group), requests.start(self.group))
         self.open[service.name] = OpenFrontEnd(
--- a/src/chervilstage/transport/http_front.py
+++ b/src/chervilstage/transport/http_front.py
@@ -2,18 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable
 from contextlib import suppress
-from random import Random
 
 import anyio
 import h11
 from anyio import CancelScope
 from anyio.abc import ByteStream, SocketStream, TaskGroup
 
-from ..coordination.flows import in_service
-from ..coordination.selection import choose_upstream
 from ..errors import ChervilstageError
 from ..errors.requests import (
     MalformedRequestError,
@@ -21,16 +16,18 @@
     RequestNotRunError,
 )
 from ..errors.upstreams import NoUpstreamError
-from ..state.configuration import Configuration, Service
+from ..state.capacity import AttemptResult, Permit
+from ..state.configuration import Service
 from ..state.counters import Counters
-from ..state.registry import UpstreamRegistry
-from ..state.types import Address, UpstreamRecord
+from ..state.types import UpstreamRecord
+from .capacity import UpstreamCapacity
 from .event_log import log_event
 from .http_connection import HttpConnection, HttpResponse
 from .http_server import error_response, send_response
 
 TIMEOUT_HEADER = "chervilstage-timeout-ms"
 OUTCOME_HEADER = "chervilstage-outcome"
+ACQUIRE_SECONDS = 1.0
 CONNECT_SECONDS = 1.0
 IDLE_SECONDS = 60.0
 
@@ -46,18 +43,13 @@
         *,
         host: str,
         service: Service,
-        registry: UpstreamRegistry,
-        configuration: Callable[[], Configuration],
+        capacity: UpstreamCapacity,
         counters: Counters,
-        rng: Random,
     ) -> None:
         self.host = host
         self.service = service
-        self.registry = registry
-        self.configuration = configuration
+        self.capacity = capacity
         self.counters = counters
-        self.rng = rng
-        self.in_flight: Counter[Address] = Counter()
 
     async def serve_connection(self, stream: ByteStream) -> None:
         """Relay the requests of one caller's connection."""
@@ -90,34 +82,32 @@
         :raises RequestNotRunError: nothing was sent to an upstream.
         :raises OutcomeUnknownError: the request was sent but no answer came.
         """
-        upstream = self.choose()
-        address = upstream.identity.address
-        self.in_flight[address] += 1
+        permit = await self.acquire()
+        result = AttemptResult.FAILED
         try:
-            stream = await self.connect(upstream)
+            stream = await self.connect(permit.upstream)
             async with stream:
                 target = HttpConnection(stream=stream, role=h11.CLIENT)
                 await send_request(caller, target, request)
                 await return_response(caller, target)
+            result = AttemptResult.SUCCEEDED
         except (OSError, anyio.BrokenResourceError, MalformedRequestError) as error:
             raise OutcomeUnknownError(reason=type(error).__name__) from error
         finally:
-            self.in_flight[address] -= 1
+            seconds = anyio.current_time() - permit.granted_at
+            self.capacity.release(permit=permit, result=result, seconds=seconds)
         self.counters.add("requests_answered", self.service.name)
 
-    def choose(self) -> UpstreamRecord:
-        """Choose the upstream of a request.
+    async def acquire(self) -> Permit:
+        """Return a permit for one attempt.
 
         :raises RequestNotRunError: no upstream can take it.
         """
-        records = self.registry.of_service(self.service.name)
         try:
-            return choose_upstream(
+            return await self.capacity.acquire(
                 service=self.service.name,
-                records=in_service(records, self.configuration()),
-                in_flight=self.in_flight,
                 excluded=frozenset(),
-                rng=self.rng,
+                deadline=anyio.current_time() + ACQUIRE_SECONDS,
             )
         except NoUpstreamError as error:
             raise RequestNotRunError(reason=error) from error
