--- /dev/null
+++ b/src/chervilstage/coordination/flow_events.py
@@ -0,0 +1,123 @@
+"""What an entry does about flows on messages, on time and on changes of members."""
+
+from __future__ import annotations
+
+from ..state.flow_messages import (
+    FlowMessage,
+    ListPage,
+    ListRequest,
+    PinAnswer,
+    PinQuery,
+    PinTold,
+    ViewActivate,
+    ViewPrepare,
+    ViewPrepared,
+)
+from ..state.flow_state import FlowState
+from .flow_effects import FlowEffect
+from .membership import MemberEvent, MemberEventKind
+from .pin_lists import answer_list, pull_lists, take_page
+from .pin_queries import (
+    answer_query,
+    confirm_exceptions,
+    expire_pending,
+    send_queries,
+    take_answer,
+    take_told,
+)
+from .view_change import take_activate, take_prepare
+from .view_rounds import run_rounds, take_prepared
+
+TICK_SECONDS = 0.02
+
+
+def take_flow_message(
+    state: FlowState, sender: str, message: FlowMessage, now: float
+) -> list[FlowEffect]:
+    """Take a message of a peer and return the effects."""
+    match message:
+        case ViewPrepare():
+            return take_prepare(state, sender, message, now)
+        case ViewPrepared():
+            return take_prepared(state, sender, message, now)
+        case ViewActivate():
+            return take_activate(state, sender, message, now)
+        case PinQuery():
+            return answer_query(state, sender, message, now)
+        case PinAnswer():
+            return take_answer(state, sender, message, now)
+        case PinTold():
+            take_told(state, message.service, message.items)
+            return []
+        case ListRequest():
+            return answer_list(state, sender, message)
+        case ListPage():
+            return take_page(state, sender, message, now)
+
+
+def run_flows(state: FlowState, now: float) -> list[FlowEffect]:
+    """Do what is due; called every ``TICK_SECONDS``."""
+    _notice_pause(state, now)
+    state.ticked_at = now
+    effects = run_rounds(state, now)
+    effects += pull_lists(state, now)
+    effects += send_queries(state, now)
+    effects += expire_pending(state, now)
+    effects += confirm_exceptions(state, now)
+    return effects
+
+
+def _notice_pause(state: FlowState, now: float) -> None:
+    """Treat what is known as old after a start or a pause of a lease or more.
+
+    The peers may have lost this entry meanwhile and gone on without it.
+    """
+    lease = state.members.lease_seconds
+    if now - state.ticked_at >= lease / 2:
+        state.doubtful_until = now + lease
+        for peer in state.members.members:
+            state.mark_all_missing(peer)
+    if now >= state.doubtful_until:
+        state.doubtful_until = float("inf")
+        for peer in set(state.missing) - state.members.live_names:
+            state.forget_peer(peer)
+
+
+def take_member_event(
+    state: FlowState, event: MemberEvent, now: float
+) -> list[FlowEffect]:
+    """Take a change of the members of the group."""
+    report = state.members.members[event.name].report
+    match event.kind:
+        case MemberEventKind.LOST:
+            _lose_peer(state, event.name)
+        case MemberEventKind.JOINED | MemberEventKind.RESTARTED:
+            # An entry that has had no view has made no pins.
+            if report.view_number:
+                state.mark_all_missing(event.name)
+                state.differing_views = True
+        case MemberEventKind.REPORTED:
+            if report.leaving and event.name not in state.leaving:
+                state.leaving.add(event.name)
+                state.mark_missing(event.name, state.all_buckets())
+    return []
+
+
+def _lose_peer(state: FlowState, peer: str) -> None:
+    """Ask the other peers for what the lost one has not told.
+
+    They have left out of their lists what it told them.
+    """
+    untold = state.missing.get(peer, {})
+    state.forget_peer(peer)
+    state.exchange.heard.clear()
+    if any(untold.values()):
+        for other in sorted(state.members.live_names):
+            state.mark_missing(other, untold)
+            state.whole.add(other)
+
+
+def is_handed_over(state: FlowState) -> bool:
+    """Tell whether this entry leaves and every live peer has its pins."""
+    leaving = state.members.report.leaving
+    return leaving and state.members.live_names <= state.handed_to
--- a/src/chervilstage/coordination/flows.py
+++ b/src/chervilstage/coordination/flows.py
@@ -3,25 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import NamedTuple
 
 from ..state.configuration import Configuration
-from ..state.flow_table import FlowTable
-from ..state.registry import UpstreamRegistry
-from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
-from .rendezvous import rendezvous_order
+from ..state.flow_state import FlowKey, FlowState, PendingFlow
+from ..state.flow_table import Pin
+from ..state.types import UpstreamId, UpstreamPhase, UpstreamRecord
+from ..state.view import bucket_of
+from .flow_effects import Ask, Decision, Drop, Forward
+from .view import bucket_order
 
-
-class Forward(NamedTuple):
-    """Send the packet to this upstream."""
-
-    upstream: UpstreamId
-
-
-class Drop(NamedTuple):
-    """Drop the packet; ``reason`` labels the counter."""
-
-    reason: str
+ASK = Ask()
+# Bounds the memory for flows that wait for answers; at 3,000 new flows a second it is
+# over a second of them.
+MAXIMUM_PENDING = 4_096
 
 
 def in_service(
@@ -31,41 +25,188 @@
     return [r for r in records if r.data_centre not in configuration.out]
 
 
-def route_packet(
-    *,
-    service: str,
-    caller: Address,
-    table: FlowTable,
-    registry: UpstreamRegistry,
-    configuration: Configuration,
-    now: float,
-) -> Forward | Drop:
-    """Choose the upstream of one packet and pin the flow to it."""
-    pinned = table.get(caller)
-    if pinned is not None and _is_current(pinned, registry, configuration):
-        table.put(caller, pinned, now)
-        return Forward(upstream=pinned)
-    candidates = in_service(registry.of_service(service), configuration)
-    ready = {
-        _name(r.identity): r.identity
-        for r in candidates
-        if r.phase is UpstreamPhase.READY
-    }
-    if not ready:
+def route_packet(*, state: FlowState, service: str, key: int, now: float) -> Decision:
+    """Choose the upstream of one packet and pin the flow to it.
+
+    The identity of the upstream is checked before each packet, so that a stale pin
+    sends nothing to an address that has changed hands.
+    """
+    table = state.tables[service]
+    pin = table.get(key)
+    if pin is None:
+        return place_flow(state, service, key, now)
+    upstream = pin.upstream
+    record = state.registry.records.get(upstream.address)
+    if (
+        record is None
+        or record.identity != upstream
+        or record.data_centre in state.in_force.current.out
+        or now - pin.used_at > table.idle_seconds
+    ):
+        end_flow(state, service, key, now)
+        return place_flow(state, service, key, now)
+    table.touch(key, pin, now)
+    return Forward(upstream=upstream)
+
+
+def place_flow(state: FlowState, service: str, key: int, now: float) -> Decision:
+    """Choose the upstream of a flow without a pin, or ask the peers."""
+    flow = FlowKey(service=service, key=key)
+    if flow in state.pending:
+        return ASK
+    known = state.exceptions[service].get(key)
+    if known is not None:
+        if state.is_usable(known.upstream):
+            put_pin(state, flow, known._replace(used_at=now), now)
+            return Forward(upstream=known.upstream)
+        state.exceptions[service].pop(key)
+        state.forget_told(service, key)
+        count_broken(state, service, known.upstream)
+    proposal = choose_upstream_of(state, service, bucket_of(key))
+    if state.view.identity.number == 0:
+        proposal = None
+    if proposal is None:
         return Drop(reason="no_upstream")
-    best = rendezvous_order(f"{caller.host}:{caller.port}", ready)[0]
-    table.put(caller, ready[best], now)
-    return Forward(upstream=ready[best])
-
-
-def _is_current(
-    pinned: UpstreamId, registry: UpstreamRegistry, configuration: Configuration
+    peers = peers_to_ask(state, service, bucket_of(key), proposal, now)
+    if not peers:
+        pin_flow(state, flow, proposal, now)
+        return Forward(upstream=proposal)
+    if len(state.pending) >= MAXIMUM_PENDING:
+        return Drop(reason="too_many_held")
+    state.pending[flow] = PendingFlow(
+        proposal=proposal,
+        waiting=frozenset(peers),
+        asked_at=float("-inf"),
+        since=now,
+    )
+    return ASK
+
+
+def choose_upstream_of(
+    state: FlowState, service: str, bucket: int
+) -> UpstreamId | None:
+    """Return the upstream of a bucket, or the next one that can be reached."""
+    chosen = state.view.buckets(service)[bucket]
+    if (
+        chosen is not None
+        and chosen.address not in state.unreachable
+        and state.is_usable(chosen)
+    ):
+        return chosen
+    open_to = [
+        record.identity
+        for record in in_service(
+            state.registry.of_service(service), state.in_force.current
+        )
+        if record.phase is UpstreamPhase.READY
+        and record.identity.address not in state.unreachable
+    ]
+    if not open_to:
+        return None
+    return bucket_order(service, bucket, open_to)[0]
+
+
+def peers_to_ask(
+    state: FlowState, service: str, bucket: int, proposal: UpstreamId, now: float
+) -> list[str]:
+    """Return the peers that may know a pin of a flow that this entry does not.
+
+    Where the lease does not hold, or the view's own choice cannot be used, any peer
+    may have chosen otherwise.
+    """
+    live = state.members.live_names
+    if proposal != state.view.buckets(service)[bucket]:
+        return sorted(live)
+    if live and not state.members.own_lease_holds(now):
+        return sorted(live.union(state.missing))
+    return state.peers_missing(service, bucket)
+
+
+def pin_flow(state: FlowState, flow: FlowKey, upstream: UpstreamId, now: float) -> None:
+    """Make a pin under the present view."""
+    number = state.view.identity.number
+    put_pin(state, flow, Pin(upstream=upstream, used_at=now, number=number), now)
+
+
+def put_pin(state: FlowState, flow: FlowKey, pin: Pin, now: float) -> None:
+    """Keep a pin, and sweep a few others for idle ones.
+
+    No pin is swept while lists are exchanged: a peer may have left it out of its own
+    list because this entry has told it.
+    """
+    table = state.tables[flow.service]
+    state.exceptions[flow.service].pop(flow.key)
+    if state.prepared is None and state.is_settled():
+        for key in table.idle_keys(now):
+            retire_pin(state, FlowKey(service=flow.service, key=key))
+    evicted = table.evicted
+    table.put(flow.key, pin)
+    if table.evicted != evicted:
+        state.counters.add("flows_evicted", flow.service)
+
+
+def retire_pin(state: FlowState, flow: FlowKey) -> None:
+    """Remove an idle pin; one that differs from the view stays as an exception.
+
+    A peer may still hold the flow as open: the exception goes once the peers have
+    been asked.
+    """
+    bucket = bucket_of(flow.key)
+    pin = state.tables[flow.service].remove(flow.key)
+    if pin is not None and pin.upstream != state.view.buckets(flow.service)[bucket]:
+        state.exceptions[flow.service].put(flow.key, pin)
+    else:
+        state.forget_told(flow.service, flow.key)
+
+
+def end_flow(state: FlowState, service: str, key: int, now: float) -> None:
+    """Remove a pin that can no longer be followed and count why."""
+    table = state.tables[service]
+    pin = table.get(key)
+    if pin is None:
+        return
+    if table.is_idle(pin, now) and state.is_usable(pin.upstream):
+        retire_pin(state, FlowKey(service=service, key=key))
+        return
+    table.remove(key)
+    state.forget_told(service, key)
+    if not table.is_idle(pin, now):
+        count_broken(state, service, pin.upstream)
+
+
+def count_broken(state: FlowState, service: str, upstream: UpstreamId) -> None:
+    """Count a flow whose upstream can no longer be used."""
+    record = state.registry.records.get(upstream.address)
+    if record is None:
+        cause = "upstream_gone"
+    elif record.identity != upstream:
+        cause = "address_changed_hands"
+    else:
+        cause = "data_centre_out"
+    state.counters.add("flows_broken", cause)
+
+
+def accepts_answer(
+    state: FlowState, service: str, key: int, sender: tuple[str, int]
 ) -> bool:
-    record = registry.records.get(pinned.address)
-    if record is None or record.identity != pinned:
+    """Tell whether a packet of an upstream belongs to a flow that is pinned to it."""
+    pin = state.tables[service].get(key)
+    if pin is None or pin.upstream.address != sender:
         return False
-    return record.data_centre not in configuration.out
-
-
-def _name(identity: UpstreamId) -> str:
-    return f"{identity.address.host}:{identity.address.port}"
+    record = state.registry.records.get(pin.upstream.address)
+    return record is not None and record.identity == pin.upstream
+
+
+def end_flows_out(state: FlowState) -> int:
+    """End every flow that the configuration in force no longer allows."""
+    ended = 0
+    for service, table in state.tables.items():
+        for bucket in table.buckets:
+            for key, pin in list(bucket.items()):
+                record = state.registry.records.get(pin.upstream.address)
+                if record and record.data_centre in state.in_force.current.out:
+                    table.remove(key)
+                    state.forget_told(service, key)
+                    count_broken(state, service, pin.upstream)
+                    ended += 1
+    return ended
--- /dev/null
+++ b/src/chervilstage/coordination/pin_queries.py
@@ -0,0 +1,264 @@
+"""Questions to the peers about flows without a pin, and their answers."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from ..state.flow_messages import PinAnswer, PinItem, PinQuery, PinTold
+from ..state.flow_state import Confirmation, FlowKey, FlowState
+from ..state.flow_table import Pin
+from ..state.types import UpstreamId
+from ..state.view import bucket_of
+from .flow_effects import FlowEffect, Release, SendPeer
+from .flows import pin_flow, put_pin
+
+# A packet is held for at most this long; a caller's retransmission comes later.
+HOLD_SECONDS = 0.25
+RESEND_SECONDS = 0.08
+QUERY_ITEMS = 120
+# Answers to older queries are ignored; the flows are asked about again.
+MAXIMUM_QUERIES = 4_096
+CONFIRM_SECONDS = 1.0
+CONFIRM_ITEMS = 60
+
+
+def send_queries(state: FlowState, now: float) -> list[FlowEffect]:
+    """Return the queries that are due, many flows in each."""
+    due: defaultdict[tuple[str, str], list[PinItem]] = defaultdict(list)
+    for flow, pending in state.pending.items():
+        if now - pending.asked_at < RESEND_SECONDS:
+            continue
+        state.pending[flow] = pending._replace(asked_at=now)
+        item = PinItem(key=flow.key, upstream=pending.proposal)
+        for peer in pending.waiting:
+            due[(peer, flow.service)].append(item)
+    effects: list[FlowEffect] = []
+    for (peer, service), items in sorted(due.items()):
+        for start in range(0, len(items), QUERY_ITEMS):
+            part = tuple(items[start : start + QUERY_ITEMS])
+            effects.append(_query(state, peer, service, part))
+    return effects
+
+
+def _query(
+    state: FlowState,
+    peer: str,
+    service: str,
+    items: tuple[PinItem, ...],
+    confirm: bool = False,
+) -> SendPeer:
+    state.queries += 1
+    state.asked[state.queries] = tuple(item.key for item in items)
+    while len(state.asked) > MAXIMUM_QUERIES:
+        del state.asked[next(iter(state.asked))]
+    message = PinQuery(
+        query=state.queries, service=service, items=items, confirm=confirm
+    )
+    return SendPeer(peer=peer, message=message)
+
+
+def answer_query(
+    state: FlowState, sender: str, query: PinQuery, now: float
+) -> list[FlowEffect]:
+    """Answer a peer's query.
+
+    Of two entries that ask about one flow at once the lower name's choice is taken by
+    both: the higher one takes it from the query, the lower one states its own.
+    """
+    if query.service not in state.tables:
+        return []
+    items = []
+    for item in query.items:
+        flow = FlowKey(service=query.service, key=item.key)
+        known = known_pin(state, flow, now)
+        if known is None and not query.confirm:
+            known = _meet_choice(state, sender, flow, item)
+        if known is not None:
+            items.append(known)
+    answer = PinAnswer(query=query.query, service=query.service, items=tuple(items))
+    return [SendPeer(peer=sender, message=answer)]
+
+
+def known_pin(state: FlowState, flow: FlowKey, now: float) -> PinItem | None:
+    """Return what this entry holds of a flow, if its upstream can be used."""
+    table = state.tables[flow.service]
+    pin = table.get(flow.key)
+    pinned = pin is not None and not table.is_idle(pin, now)
+    if not pinned:
+        pin = state.exceptions[flow.service].get(flow.key)
+    if pin is None or not state.is_usable(pin.upstream):
+        return None
+    return PinItem(
+        key=flow.key, upstream=pin.upstream, number=pin.number, pinned=pinned
+    )
+
+
+def _meet_choice(
+    state: FlowState, sender: str, flow: FlowKey, item: PinItem
+) -> PinItem | None:
+    own = state.pending.get(flow)
+    if own is None:
+        return None
+    if sender < state.name:
+        _improve(state, flow, sender, item, pinned=False)
+        return None
+    best = own.best.upstream if own.best else own.proposal
+    return PinItem(key=flow.key, upstream=best)
+
+
+def _improve(
+    state: FlowState, flow: FlowKey, sender: str, item: PinItem, pinned: bool
+) -> None:
+    """Keep an answer if it is better: a pin, then the oldest, then the lowest name."""
+    held = state.pending[flow]
+    pin = Pin(upstream=item.upstream, used_at=held.since, number=item.number)
+    if held.best is not None:
+        rank = (not held.best_pinned, held.best.number, held.best_from)
+        if rank <= (not pinned, pin.number, sender):
+            return
+    state.pending[flow] = held._replace(best=pin, best_pinned=pinned, best_from=sender)
+
+
+def take_answer(
+    state: FlowState, sender: str, answer: PinAnswer, now: float
+) -> list[FlowEffect]:
+    """Take an answer; flows of its query that it leaves out the peer does not know."""
+    items = {item.key: item for item in answer.items}
+    effects: list[FlowEffect] = []
+    for key in state.asked.pop(answer.query, ()):
+        flow = FlowKey(service=answer.service, key=key)
+        item = items.get(key)
+        if flow in state.confirming:
+            _take_confirmation(state, sender, flow, item, now)
+        if flow not in state.pending:
+            continue
+        if item is not None and state.is_usable(item.upstream):
+            stated = item.pinned or item.number > 0
+            _improve(state, flow, sender, item, pinned=stated)
+        pending = state.pending[flow]
+        waiting = pending.waiting - {sender}
+        state.pending[flow] = pending._replace(waiting=waiting)
+        if not waiting:
+            effects.extend(decide_pending(state, flow, now))
+    return effects
+
+
+def decide_pending(state: FlowState, flow: FlowKey, now: float) -> list[FlowEffect]:
+    """Pin a flow after the answers that have come."""
+    pending = state.pending.pop(flow)
+    if flow.service not in state.tables:
+        return []
+    best = pending.best
+    upstream = best.upstream if best else pending.proposal
+    if not state.is_usable(upstream):
+        return [Release(service=flow.service, key=flow.key, upstream=None)]
+    if best and pending.best_pinned:
+        put_pin(state, flow, best._replace(used_at=now), now)
+    else:
+        pin_flow(state, flow, upstream, now)
+    released = Release(service=flow.service, key=flow.key, upstream=upstream)
+    return [released, *tell_exception(state, flow, upstream)]
+
+
+def tell_exception(
+    state: FlowState, flow: FlowKey, upstream: UpstreamId
+) -> list[FlowEffect]:
+    """Tell the peers of a new pin that they would not choose by the view."""
+    if upstream == state.view.buckets(flow.service)[bucket_of(flow.key)]:
+        return []
+    pin = state.tables[flow.service].get(flow.key)
+    number = pin.number if pin else 0
+    item = PinItem(key=flow.key, upstream=upstream, number=number, pinned=True)
+    message = PinTold(service=flow.service, items=(item,))
+    return [
+        SendPeer(peer=peer, message=message)
+        for peer in sorted(state.members.live_names)
+    ]
+
+
+def expire_pending(state: FlowState, now: float) -> list[FlowEffect]:
+    """Decide the flows that have been held for as long as is allowed."""
+    live = state.members.live_names.union(state.missing)
+    effects: list[FlowEffect] = []
+    for flow, pending in list(state.pending.items()):
+        waiting = pending.waiting & live
+        late = now - pending.since >= HOLD_SECONDS
+        if waiting and not late:
+            continue
+        if waiting:
+            state.counters.add("flows_unanswered", flow.service)
+        effects.extend(decide_pending(state, flow, now))
+    return effects
+
+
+def take_told(state: FlowState, service: str, items: tuple[PinItem, ...]) -> None:
+    """Keep the exceptions that a peer tells of; the oldest pin wins."""
+    table = state.tables.get(service)
+    if table is None:
+        return
+    for item in items:
+        flow = FlowKey(service=service, key=item.key)
+        if flow in state.pending:
+            _improve(state, flow, "", item, pinned=True)
+        pin = table.get(item.key)
+        told = Pin(upstream=item.upstream, used_at=state.ticked_at, number=item.number)
+        if pin is None:
+            held = state.exceptions[service].get(item.key)
+            if held is None or held.number >= item.number:
+                state.exceptions[service].put(item.key, told)
+        elif pin.upstream != item.upstream and item.number < pin.number:
+            table.put(item.key, told._replace(used_at=pin.used_at))
+            state.counters.add("flows_broken", "pins_differed")
+
+
+def confirm_exceptions(state: FlowState, now: float) -> list[FlowEffect]:
+    """Ask about some exceptions that are idle here, and drop unconfirmed ones."""
+    for flow, confirmation in list(state.confirming.items()):
+        if now - confirmation.since >= CONFIRM_SECONDS:
+            # A peer that did not answer may hold the flow: it is asked again later.
+            del state.confirming[flow]
+    if state.confirming or not state.is_settled():
+        return []
+    if not state.exception_sweep:
+        state.exception_sweep = [
+            FlowKey(service=service, key=key)
+            for service, known in state.exceptions.items()
+            for key in list(known.keys())
+        ]
+    live = sorted(state.members.live_names)
+    due: defaultdict[str, list[PinItem]] = defaultdict(list)
+    for _ in range(min(CONFIRM_ITEMS, len(state.exception_sweep))):
+        flow = state.exception_sweep.pop()
+        if flow.service not in state.tables:
+            continue
+        pin = state.exceptions[flow.service].get(flow.key)
+        if pin is None or not state.tables[flow.service].is_idle(pin, now):
+            continue
+        if not live:
+            state.exceptions[flow.service].pop(flow.key)
+            continue
+        state.confirming[flow] = Confirmation(waiting=frozenset(live), since=now)
+        due[flow.service].append(PinItem(key=flow.key, upstream=pin.upstream))
+    return [
+        _query(state, peer, service, tuple(items), confirm=True)
+        for service, items in due.items()
+        for peer in live
+    ]
+
+
+def _take_confirmation(
+    state: FlowState, sender: str, flow: FlowKey, item: PinItem | None, now: float
+) -> None:
+    confirmation = state.confirming.pop(flow)
+    known = state.exceptions[flow.service]
+    if item is not None and item.pinned:
+        held = known.get(flow.key)
+        if held is not None:
+            known.put(flow.key, held._replace(used_at=now))
+        return
+    waiting = confirmation.waiting - {sender}
+    if waiting:
+        state.confirming[flow] = confirmation._replace(waiting=waiting)
+    else:
+        known.pop(flow.key)
+        state.forget_told(flow.service, flow.key)
--- /dev/null
+++ b/src/chervilstage/coordination/view.py
@@ -0,0 +1,107 @@
+"""Computes the views of buckets and the pace of their change."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from functools import lru_cache
+
+import xxhash
+
+from ..state.types import UpstreamId
+from ..state.view import BUCKETS, BucketMap, View, ViewId
+
+Weights = Mapping[str, Mapping[UpstreamId, float]]
+
+
+@lru_cache(maxsize=65_536)
+def _score(service: str, bucket: int, upstream: UpstreamId) -> int:
+    host, port = upstream.address
+    return xxhash.xxh3_64_intdigest(f"{service}|{bucket}|{host}:{port}".encode())
+
+
+def bucket_order(
+    service: str, bucket: int, upstreams: Iterable[UpstreamId]
+) -> list[UpstreamId]:
+    """Return upstreams in the rendezvous order of a bucket, the first choice first."""
+    return sorted(upstreams, key=lambda u: (-_score(service, bucket, u), u))
+
+
+def bucket_shares(weights: Mapping[UpstreamId, float]) -> dict[UpstreamId, int]:
+    """Return how many buckets each upstream should hold, by largest remainder."""
+    total = sum(weights.values())
+    if total <= 0:
+        return {}
+    exact = {u: BUCKETS * weight / total for u, weight in weights.items() if weight > 0}
+    shares = {upstream: int(value) for upstream, value in exact.items()}
+    spare = BUCKETS - sum(shares.values())
+    by_remainder = sorted(exact, key=lambda u: (int(exact[u]) - exact[u], u))
+    for upstream in by_remainder[:spare]:
+        shares[upstream] += 1
+    return shares
+
+
+def compute_buckets(
+    service: str,
+    weights: Mapping[UpstreamId, float],
+    previous: BucketMap,
+    batch: int = BUCKETS,
+) -> BucketMap:
+    """Return the next map of a service, moving as few buckets as possible.
+
+    Buckets whose upstream has no weight move at once; of the others at most ``batch``
+    move, to upstreams that hold less than their share.
+    """
+    shares = bucket_shares(weights)
+    if not shares:
+        return previous
+    room = dict(shares)
+    orphans = [b for b, upstream in enumerate(previous) if upstream not in shares]
+    for upstream in previous:
+        if upstream in room:
+            room[upstream] -= 1
+    result = list(previous)
+    for bucket in orphans:
+        open_to = [u for u, free in room.items() if free > 0] or list(room)
+        chosen = bucket_order(service, bucket, open_to)[0]
+        result[bucket] = chosen
+        room[chosen] -= 1
+    for _ in range(batch):
+        taker = max(sorted(room), key=lambda u: room[u])
+        giver = min(sorted(room), key=lambda u: room[u])
+        if room[taker] <= 0 or room[giver] >= 0:
+            break
+        held = [b for b, upstream in enumerate(result) if upstream == giver]
+        moved = max(held, key=lambda b: _score(service, b, taker))
+        result[moved] = taker
+        room[taker] -= 1
+        room[giver] += 1
+    return tuple(result)
+
+
+def compute_view(
+    identity: ViewId, weights: Weights, previous: View, batch: int = BUCKETS
+) -> View:
+    """Return the next view.
+
+    :param weights: the upstreams of each service and their share of its flows. A
+        service without upstreams keeps its map.
+    :param batch: the most buckets of a service that move without need.
+    """
+    return View(
+        identity=identity,
+        services={
+            service: compute_buckets(
+                service, upstreams, previous.buckets(service), batch
+            )
+            for service, upstreams in weights.items()
+        },
+    )
+
+
+def must_move(weights: Weights, view: View) -> bool:
+    """Tell whether a bucket points to an upstream that gets no new flows."""
+    return any(
+        any(upstream not in upstreams for upstream in view.buckets(service))
+        for service, upstreams in weights.items()
+        if upstreams
+    )
--- /dev/null
+++ b/src/chervilstage/coordination/view_change.py
@@ -0,0 +1,136 @@
+"""Two-step activation of views: what each entry does with a coordinator's messages."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from ..state.flow_messages import BucketMove, ViewActivate, ViewPrepare, ViewPrepared
+from ..state.flow_state import FlowState
+from ..state.types import UpstreamId
+from ..state.view import EMPTY_MAP, View, ViewId, changed_buckets
+from .flow_effects import FlowEffect, SendPeer
+
+NO_VIEW = View()
+
+
+def view_moves(before: View, after: View) -> tuple[BucketMove, ...]:
+    """Return what has to be told of a view to an entry that has the view before."""
+    moves: list[BucketMove] = []
+    for service, buckets in sorted(changed_buckets(before, after).items()):
+        target = after.buckets(service)
+        by_upstream: defaultdict[UpstreamId | None, list[int]] = defaultdict(list)
+        for bucket in sorted(buckets):
+            by_upstream[target[bucket]].append(bucket)
+        moves.extend(
+            BucketMove(service=service, upstream=upstream, buckets=tuple(numbers))
+            for upstream, numbers in by_upstream.items()
+        )
+    return tuple(moves)
+
+
+def apply_moves(identity: ViewId, base: View, moves: tuple[BucketMove, ...]) -> View:
+    """Return the view that follows a base by some moves."""
+    maps = {service: list(buckets) for service, buckets in base.services.items()}
+    for move in moves:
+        buckets = maps.setdefault(move.service, list(EMPTY_MAP))
+        for bucket in move.buckets:
+            buckets[bucket] = move.upstream
+    services = {service: tuple(buckets) for service, buckets in maps.items()}
+    return View(identity=identity, services=services)
+
+
+def take_prepare(
+    state: FlowState, sender: str, prepare: ViewPrepare, now: float
+) -> list[FlowEffect]:
+    """Prepare a view, unless a newer one is prepared or in force here."""
+    view = prepare.view
+    state.highest = max(state.highest, view.number)
+    if view == state.view.identity:
+        return [_acknowledge(state, sender)]
+    held = state.prepared.identity if state.prepared else ViewId()
+    if view == held:
+        if prepare.urgent and not state.prepared_urgent:
+            hurry(state)
+        return [_acknowledge(state, sender)] if state.acknowledged else []
+    if not view.supersedes(state.view.identity) or not view.supersedes(held):
+        return []
+    base = NO_VIEW
+    if prepare.base != ViewId():
+        base = state.view
+        if prepare.base != base.identity:
+            answer = ViewPrepared(view=view, needs_whole=True)
+            return [SendPeer(peer=sender, message=answer)]
+    prepare_view(state, apply_moves(view, base, prepare.moves), prepare.urgent)
+    return [_acknowledge(state, sender)] if state.acknowledged else []
+
+
+def prepare_view(state: FlowState, view: View, urgent: bool) -> None:
+    """Begin a change of view.
+
+    Without urgency the lists of pins come first. Buckets that differ from the view in
+    force here are unsettled from the acknowledgement on.
+    """
+    state.prepared = view
+    state.prepared_urgent = urgent
+    state.acknowledged = False
+    state.exchange.begin(finished=state.finished)
+    state.finished = False
+    state.positions.clear()
+    changed = changed_buckets(state.view, view)
+    state.early = {
+        peer: {service: set(buckets) for service, buckets in changed.items()}
+        for peer in state.members.live_names
+    }
+    if urgent or not any(state.early.values()):
+        hurry(state)
+
+
+def hurry(state: FlowState) -> None:
+    """Acknowledge the prepared view without the lists that are still to come."""
+    state.early = {}
+    acknowledge_view(state)
+
+
+def acknowledge_view(state: FlowState) -> None:
+    """Hold the moving buckets to be unsettled from now on."""
+    if state.prepared is None or state.acknowledged:
+        return
+    state.acknowledged = True
+    changed = changed_buckets(state.view, state.prepared)
+    for peer in state.members.live_names:
+        state.mark_missing(peer, changed)
+
+
+def _acknowledge(state: FlowState, coordinator: str) -> SendPeer:
+    if state.prepared is not None:
+        answer = ViewPrepared(view=state.prepared.identity)
+    else:
+        answer = ViewPrepared(view=state.view.identity, settled=state.is_settled())
+    return SendPeer(peer=coordinator, message=answer)
+
+
+def take_activate(
+    state: FlowState, sender: str, activate: ViewActivate, now: float
+) -> list[FlowEffect]:
+    """Put a prepared view in force."""
+    if state.view.identity == activate.view:
+        return [_acknowledge(state, sender)] if state.prepared is None else []
+    if state.prepared is None or state.prepared.identity != activate.view:
+        if not activate.view.supersedes(state.view.identity):
+            return []
+        answer = ViewPrepared(view=activate.view, needs_whole=True)
+        return [SendPeer(peer=sender, message=answer)]
+    activate_view(state)
+    return [_acknowledge(state, sender)]
+
+
+def activate_view(state: FlowState) -> None:
+    """Put the prepared view in force."""
+    if state.prepared is None:
+        return
+    hurry(state)
+    state.view = state.prepared
+    state.prepared = None
+    state.exchange.activate()
+    report = state.members.report
+    state.members.report = report._replace(view_number=state.view.identity.number)
--- /dev/null
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -0,0 +1,207 @@
+"""The coordinator's side of a change of view."""
+
+from __future__ import annotations
+
+from ..state.flow_messages import ViewActivate, ViewPrepare, ViewPrepared
+from ..state.flow_state import FlowState, ViewRound
+from ..state.types import UpstreamId, UpstreamPhase
+from ..state.view import BUCKETS, View, ViewId, changed_buckets
+from .flow_effects import FlowEffect, SendPeer
+from .flows import in_service
+from .view import Weights, compute_view, must_move
+from .view_change import NO_VIEW, activate_view, prepare_view, view_moves
+
+RESEND_SECONDS = 0.2
+SETTLED_RESEND_SECONDS = 1.0
+# What the lists of one batch may cost an entry: a few seconds of its control budget of
+# 14 KB/s, of which heartbeats and queries need a part.
+BATCH_BYTES = 24_000
+FINGERPRINT_BYTES = 6
+
+
+def is_coordinator(state: FlowState) -> bool:
+    """Tell whether this entry is the live entry with the lowest name."""
+    staying = [n for n in state.members.live() if state.members.is_staying(n)]
+    return (staying or state.members.live())[0] == state.name
+
+
+def view_weights(state: FlowState) -> dict[str, dict[UpstreamId, float]]:
+    """Return the upstreams that may get new flows, by service.
+
+    An upstream in a data centre that is cut off stays in the view.
+    """
+    weights: dict[str, dict[UpstreamId, float]] = {}
+    configuration = state.in_force.current
+    for service in state.tables:
+        records = in_service(state.registry.of_service(service), configuration)
+        weights[service] = {
+            record.identity: 1.0
+            for record in records
+            if record.phase is UpstreamPhase.READY
+        }
+    return weights
+
+
+def batch_of(state: FlowState) -> int:
+    """Return how many buckets may move at once within the control budget.
+
+    Each of the other entries gets every fingerprint of a bucket once, and the entries
+    share the telling among themselves.
+    """
+    entries = len(state.members.live())
+    told = state.flows_held() / BUCKETS * FINGERPRINT_BYTES * (entries - 1) / entries
+    return max(1, min(BUCKETS, int(BATCH_BYTES / max(told, 1.0))))
+
+
+def run_rounds(state: FlowState, now: float) -> list[FlowEffect]:
+    """Go on with the round of this entry, or begin one if a change is wanted."""
+    if not is_coordinator(state):
+        state.round = None
+        return []
+    weights = view_weights(state)
+    urgent = must_move(weights, target_view(state))
+    if state.round is None or (urgent and _is_superseded(state, weights)):
+        _begin(state, weights, urgent)
+    if state.round is None:
+        return _bring_up(state, now)
+    return _go_on(state, now)
+
+
+def target_view(state: FlowState) -> View:
+    """Return the view that is in force or about to be."""
+    return state.round.view if state.round else state.view
+
+
+def _is_superseded(state: FlowState, weights: Weights) -> bool:
+    return state.round is not None and must_move(weights, state.round.view)
+
+
+def _begin(state: FlowState, weights: Weights, urgent: bool) -> None:
+    """Begin a round if the next view differs from the one in force."""
+    if not state.is_settled() and not urgent:
+        return
+    inputs = (weights, state.view.identity, state.differing_views)
+    if inputs == state.last_inputs:
+        return
+    batch = 0 if urgent else batch_of(state)
+    view = compute_view(ViewId(), weights, state.view, batch)
+    if not changed_buckets(state.view, view) and not state.differing_views:
+        state.last_inputs = inputs
+        return
+    state.differing_views = False
+    view = view._replace(identity=state.next_view_id())
+    state.round = ViewRound(view=view, base=state.view, urgent=urgent)
+    prepare_view(state, view, urgent)
+
+
+def _go_on(state: FlowState, now: float) -> list[FlowEffect]:
+    round_ = state.round
+    if round_ is None:
+        return []
+    live = state.members.live_names
+    if not round_.active and state.acknowledged and live <= round_.prepared:
+        if state.prepared is not None and state.prepared.identity == (
+            round_.view.identity
+        ):
+            activate_view(state)
+            round_ = round_._replace(active=True, sent_at=float("-inf"))
+    elif not round_.active and (
+        state.prepared is None or state.prepared.identity != round_.view.identity
+    ):
+        # Another coordinator's view has taken the place of this round's.
+        state.round = None
+        return []
+    if round_.active and state.is_settled() and live <= round_.settled:
+        state.finished = True
+        state.round = None
+        return []
+    state.round = round_
+    return _resend(state, now)
+
+
+def _resend(state: FlowState, now: float) -> list[FlowEffect]:
+    round_ = state.round
+    if round_ is None:
+        return []
+    reported = {
+        name: state.members.members[name].report.view_number
+        for name in state.members.live_names
+    }
+    number = round_.view.identity.number
+    slow = round_.active and all(n >= number for n in reported.values())
+    interval = SETTLED_RESEND_SECONDS if slow else RESEND_SECONDS
+    if now - round_.sent_at < interval:
+        return []
+    state.round = round_._replace(sent_at=now)
+    effects: list[FlowEffect] = []
+    for peer in sorted(state.members.live_names):
+        if not round_.active and peer not in round_.prepared:
+            effects.append(_prepare_for(round_, peer))
+        elif round_.active and peer not in round_.settled:
+            message = ViewActivate(view=round_.view.identity)
+            effects.append(SendPeer(peer=peer, message=message))
+    return effects
+
+
+def _prepare_for(round_: ViewRound, peer: str) -> SendPeer:
+    base = NO_VIEW if peer in round_.needs_whole else round_.base
+    message = ViewPrepare(
+        view=round_.view.identity,
+        base=base.identity,
+        urgent=round_.urgent,
+        moves=view_moves(base, round_.view),
+    )
+    return SendPeer(peer=peer, message=message)
+
+
+def _bring_up(state: FlowState, now: float) -> list[FlowEffect]:
+    """Give the view in force to entries that report an older one."""
+    number = state.view.identity.number
+    behind = {
+        name
+        for name in state.members.live_names
+        if state.members.members[name].report.view_number < number
+    }
+    if behind and number:
+        live = frozenset(state.members.live_names)
+        state.round = ViewRound(
+            view=state.view,
+            base=state.view,
+            urgent=True,
+            prepared=live - behind,
+            needs_whole=frozenset(behind),
+            active=True,
+        )
+    return []
+
+
+def take_prepared(
+    state: FlowState, sender: str, answer: ViewPrepared, now: float
+) -> list[FlowEffect]:
+    """Take an acknowledgement of a peer."""
+    round_ = state.round
+    if round_ is None or answer.view != round_.view.identity:
+        return []
+    if answer.needs_whole:
+        state.round = round_._replace(
+            needs_whole=round_.needs_whole | {sender},
+            prepared=round_.prepared - {sender},
+        )
+        return [_prepare_for(state.round, sender)]
+    prepared = round_.prepared | {sender}
+    settled = round_.settled | {sender} if answer.settled else round_.settled
+    state.round = round_._replace(prepared=prepared, settled=settled)
+    if round_.active and not answer.settled and sender not in round_.prepared:
+        message = ViewActivate(view=round_.view.identity)
+        return [SendPeer(peer=sender, message=message)]
+    return run_rounds(state, now) if live_prepared(state) else []
+
+
+def live_prepared(state: FlowState) -> bool:
+    """Tell whether every live peer has prepared the view of a round."""
+    round_ = state.round
+    return (
+        round_ is not None
+        and not round_.active
+        and state.members.live_names <= round_.prepared
+    )
--- a/src/chervilstage/protocol/kinds.py
+++ b/src/chervilstage/protocol/kinds.py
@@ -17,7 +17,8 @@
     PIN_QUERY = 23
     PIN_ANSWER = 24
     PIN_LIST = 25
-    PIN_LIST_ACK = 26
+    PIN_LIST_REQUEST = 26
+    PIN_TOLD = 27
 
     UPSTREAM_RECORDS = 40
     UPSTREAM_DIGEST = 41
--- a/src/chervilstage/protocol/proxy_header.py
+++ b/src/chervilstage/protocol/proxy_header.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from ipaddress import IPv4Address
-from socket import SOCK_DGRAM
+from socket import SOCK_DGRAM, inet_aton, inet_ntoa
 from typing import NamedTuple
 
 from proxyprotocol import ProxyProtocolIncompleteError, ProxyProtocolSyntaxError
@@ -18,6 +19,13 @@
 
 CODEC = ProxyProtocolV2()
 
+# The first 16 bytes are the same for every IPv4 datagram; the relay builds the others
+# from packed addresses, because the library's codec takes several times as long as
+# the decision for a packet.
+PREFIX_BYTES = 16
+ADDRESS_END = 20
+PORT_START, PORT_END = 24, 26
+
 
 class ProxiedDatagram(NamedTuple):
     """A datagram with the addresses that its header names."""
@@ -27,6 +35,38 @@
     payload: bytes
 
 
+def packed_address(host: str, port: int) -> bytes:
+    """Return the four bytes of an IPv4 address and the two of a port."""
+    return inet_aton(host) + port.to_bytes(2, "big")
+
+
+def header_writer(front_end: Address) -> Callable[[bytes], bytes]:
+    """Return a function from packed callers to headers that name a front end."""
+    prefix = encode_header(front_end, front_end)[:PREFIX_BYTES]
+    packed = packed_address(*front_end)
+    host, port = packed[:4], packed[4:]
+
+    def write(caller: bytes) -> bytes:
+        return prefix + caller[:4] + host + caller[4:] + port
+
+    return write
+
+
+def packed_caller(data: bytes, prefix: bytes) -> bytes | None:
+    """Return the packed caller that a datagram's header names.
+
+    :param prefix: the first bytes of every valid header.
+    """
+    if len(data) < HEADER_BYTES or not data.startswith(prefix):
+        return None
+    return data[PREFIX_BYTES:ADDRESS_END] + data[PORT_START:PORT_END]
+
+
+def unpacked_address(packed: bytes) -> tuple[str, int]:
+    """Return the host and port of a packed address."""
+    return inet_ntoa(packed[:4]), int.from_bytes(packed[4:], "big")
+
+
 def encode_header(caller: Address, front_end: Address) -> bytes:
     """Return the header that names a caller and a front end."""
     result = ProxyResultIPv4(
--- /dev/null
+++ b/src/chervilstage/protocol/schema/flows.capnp
@@ -0,0 +1,78 @@
+@0xe1b7c05d93f24a68;
+
+# Lists of 64-bit words are packed on the wire: a fingerprint of 40 bits takes 6 bytes.
+
+struct Upstream {
+  host @0 :Text;
+  port @1 :UInt16;
+  incarnation @2 :UInt64;
+  service @3 :Text;
+}
+
+struct ViewIdentity {
+  number @0 :UInt32;
+  coordinator @1 :Text;
+}
+
+struct Move {
+  service @0 :Text;
+  # One more than the place in the list of upstreams; 0 is no upstream.
+  upstream @1 :UInt16;
+  # Pairs of first and last bucket.
+  ranges @2 :List(UInt16);
+}
+
+struct Prepare {
+  view @0 :ViewIdentity;
+  base @1 :ViewIdentity;
+  urgent @2 :Bool;
+  upstreams @3 :List(Upstream);
+  moves @4 :List(Move);
+}
+
+struct Prepared {
+  view @0 :ViewIdentity;
+  needsWhole @1 :Bool;
+  settled @2 :Bool;
+}
+
+struct Activate {
+  view @0 :ViewIdentity;
+}
+
+# Flows of one upstream; the words are keys, or fingerprints if bucket is not 0xffff.
+struct Pins {
+  upstream @0 :UInt16;
+  number @1 :UInt32;
+  pinned @2 :Bool;
+  bucket @3 :UInt16 = 0xffff;
+  words @4 :List(UInt64);
+}
+
+struct PinItems {
+  query @0 :UInt32;
+  service @1 :Text;
+  confirm @2 :Bool;
+  upstreams @3 :List(Upstream);
+  pins @4 :List(Pins);
+}
+
+struct ListRequest {
+  view @0 :ViewIdentity;
+  service @1 :Text;
+  # Pairs of first and last bucket, in the order wanted.
+  ranges @2 :List(UInt16);
+  after @3 :UInt64;
+  early @4 :Bool;
+  whole @5 :Bool;
+}
+
+struct ListPage {
+  view @0 :ViewIdentity;
+  early @1 :Bool;
+  done @2 :List(UInt16);
+  knownOf @3 :List(Text);
+  partial @4 :Int32;
+  after @5 :UInt64;
+  items @6 :PinItems;
+}
--- /dev/null
+++ b/src/chervilstage/state/flow_state.py
@@ -0,0 +1,259 @@
+"""What an entry knows of flows, views and the pins of its peers."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .configuration import Service
+from .counters import Counters
+from .flow_table import FlowTable, Pin
+from .in_force import ConfigurationInForce
+from .known_exceptions import KnownExceptions
+from .members import MemberTable
+from .registry import UpstreamRegistry
+from .types import Address, UpstreamId
+from .view import ALL_BUCKETS, View, ViewId
+
+
+class FlowKey(NamedTuple):
+    """A flow of a service."""
+
+    service: str
+    key: int
+
+
+class PendingFlow(NamedTuple):
+    """A flow without a pin whose peers have been asked.
+
+    ``waiting`` are the peers that have not answered; ``best`` is the best answer so
+    far and who gave it.
+    """
+
+    proposal: UpstreamId
+    waiting: frozenset[str]
+    asked_at: float
+    since: float
+    best: Pin | None = None
+    best_pinned: bool = False
+    best_from: str = ""
+
+
+class Confirmation(NamedTuple):
+    """An idle exception that goes unless a peer says that its flow is in use."""
+
+    waiting: frozenset[str]
+    since: float
+
+
+class PullPosition(NamedTuple):
+    """Where the pull of a peer's lists stands.
+
+    ``bucket`` is the bucket that is told in part, up to the key ``after``.
+    """
+
+    next_at: float = float("-inf")
+    service: str = ""
+    bucket: int = -1
+    after: int = 0
+    full: bool = False
+
+
+class ViewRound(NamedTuple):
+    """A change of view that this entry coordinates.
+
+    ``settled`` are the entries that have every list of the view.
+    """
+
+    view: View
+    base: View
+    urgent: bool
+    prepared: frozenset[str] = frozenset()
+    needs_whole: frozenset[str] = frozenset()
+    settled: frozenset[str] = frozenset()
+    active: bool = False
+    sent_at: float = float("-inf")
+
+
+class ListExchange:
+    """What has been told and heard of pins since the present view was prepared.
+
+    A key that a peer has told is left out of this entry's own lists, unless this
+    entry has told it to someone already: it must then tell it to all. The keys are
+    held by service. ``common`` are the keys that every entry has heard of in earlier
+    exchanges.
+    """
+
+    def __init__(self) -> None:
+        self.told_early: defaultdict[str, set[int]] = defaultdict(set)
+        self.told: defaultdict[str, set[int]] = defaultdict(set)
+        self.heard: defaultdict[str, set[int]] = defaultdict(set)
+        self.common: defaultdict[str, set[int]] = defaultdict(set)
+
+    def begin(self, *, finished: bool) -> None:
+        """Begin the exchange of another view.
+
+        :param finished: every entry had every list of the exchange before.
+        """
+        for keys in (self.told_early, self.told, self.heard):
+            if finished:
+                for service, found in keys.items():
+                    self.common[service] |= found
+            keys.clear()
+
+    def activate(self) -> None:
+        """Begin the second part, after the view has come in force."""
+        for service, keys in self.told.items():
+            self.told_early[service] |= keys
+        self.told.clear()
+
+
+class FlowState:
+    """All that the decisions about flows of one entry work on.
+
+    ``missing`` holds the buckets by peer and service for which this entry does not
+    have the peer's exceptions; such buckets are unsettled. ``early`` holds those
+    whose lists are still to come before a prepared view can be acknowledged.
+
+    :param unreachable: addresses of upstreams that are cut off from this entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: MemberTable,
+        registry: UpstreamRegistry,
+        in_force: ConfigurationInForce,
+        counters: Counters,
+        unreachable: set[Address],
+    ) -> None:
+        self.name = members.name
+        self.members = members
+        self.registry = registry
+        self.in_force = in_force
+        self.counters = counters
+        self.unreachable = unreachable
+        self.tables: dict[str, FlowTable] = {}
+        self.exceptions: dict[str, KnownExceptions] = {}
+        self.view = View()
+        self.prepared: View | None = None
+        self.prepared_urgent = False
+        self.acknowledged = False
+        self.highest = 0
+        self.missing: dict[str, dict[str, set[int]]] = {}
+        self.early: dict[str, dict[str, set[int]]] = {}
+        self.whole: set[str] = set()
+        self.positions: dict[str, PullPosition] = {}
+        self.exchange = ListExchange()
+        self.pending: dict[FlowKey, PendingFlow] = {}
+        self.confirming: dict[FlowKey, Confirmation] = {}
+        self.exception_sweep: list[FlowKey] = []
+        self.round: ViewRound | None = None
+        self.ticked_at = float("-inf")
+        self.doubtful_until = float("inf")
+        self.differing_views = False
+        self.finished = False
+        self.handed_to: set[str] = set()
+        self.leaving: set[str] = set()
+        self.last_inputs: object = None
+        self.queries = 0
+        self.asked: dict[int, tuple[int, ...]] = {}
+
+    def add_service(self, service: Service) -> None:
+        """Keep pins for a service."""
+        self.tables[service.name] = FlowTable(
+            capacity=service.max_flows, idle_seconds=service.flow_idle_seconds
+        )
+        self.exceptions[service.name] = KnownExceptions()
+        for name in self.missing:
+            self.missing[name].setdefault(service.name, set(ALL_BUCKETS))
+
+    def remove_service(self, service: str) -> None:
+        """Forget the pins of a service."""
+        self.tables.pop(service, None)
+        self.exceptions.pop(service, None)
+        for buckets in (*self.missing.values(), *self.early.values()):
+            buckets.pop(service, None)
+
+    def is_usable(self, upstream: UpstreamId) -> bool:
+        """Tell whether packets may be sent to an upstream.
+
+        The registered identity must be the same, service included, and its data
+        centre in service.
+        """
+        record = self.registry.records.get(upstream.address)
+        return (
+            record is not None
+            and record.identity == upstream
+            and record.data_centre not in self.in_force.current.out
+        )
+
+    def peers_missing(self, service: str, bucket: int) -> list[str]:
+        """Return the peers whose exceptions of a bucket are not known here."""
+        return [
+            name
+            for name, buckets in self.missing.items()
+            if bucket in buckets.get(service, ())
+        ]
+
+    def mark_missing(self, peer: str, buckets: Mapping[str, set[int]]) -> None:
+        """Record that the exceptions of a peer are not known for some buckets."""
+        missing = self.missing.setdefault(peer, {})
+        for service, numbers in buckets.items():
+            missing.setdefault(service, set()).update(numbers)
+        self.positions[peer] = PullPosition()
+
+    def mark_all_missing(self, peer: str) -> None:
+        """Record that no exception of a peer is known."""
+        self.mark_missing(peer, self.all_buckets())
+        self.whole.add(peer)
+
+    def all_buckets(self) -> dict[str, set[int]]:
+        """Return the buckets of every service."""
+        return {name: set(ALL_BUCKETS) for name in self.tables}
+
+    def forget_peer(self, peer: str) -> None:
+        """Expect no lists and no answers of a peer any more."""
+        self.missing.pop(peer, None)
+        self.early.pop(peer, None)
+        self.positions.pop(peer, None)
+        self.whole.discard(peer)
+        self.leaving.discard(peer)
+
+    def is_settled(self) -> bool:
+        """Tell whether every list of every live peer has arrived."""
+        return not any(any(b.values()) for b in self.missing.values())
+
+    def unsettled_count(self) -> int:
+        """Return the number of unsettled buckets over all services."""
+        unsettled: set[tuple[str, int]] = set()
+        for services in self.missing.values():
+            for service, buckets in services.items():
+                unsettled.update((service, bucket) for bucket in buckets)
+        return len(unsettled)
+
+    def flows_held(self) -> int:
+        """Return the number of pins over all services."""
+        return sum(table.size for table in self.tables.values())
+
+    def exceptions_known(self) -> int:
+        """Return the number of exceptions heard of and not pinned here."""
+        return sum(known.size for known in self.exceptions.values())
+
+    def forget_told(self, service: str, key: int) -> None:
+        """Forget that a flow was told of, as its key may come to mean another flow."""
+        exchange = self.exchange
+        for keys in (
+            exchange.told_early,
+            exchange.told,
+            exchange.heard,
+            exchange.common,
+        ):
+            keys[service].discard(key)
+
+    def next_view_id(self) -> ViewId:
+        """Return an identity above every number that has been seen."""
+        reported = (m.report.view_number for m in self.members.members.values())
+        self.highest = max(self.highest, self.view.identity.number, *reported, 0) + 1
+        return ViewId(number=self.highest, coordinator=self.name)
--- a/src/chervilstage/state/flow_table.py
+++ b/src/chervilstage/state/flow_table.py
@@ -4,20 +4,35 @@
 
 from typing import NamedTuple
 
-from .types import Address, UpstreamId
+from .types import UpstreamId
+from .view import BUCKETS, FINGERPRINT_BITS
+
+# A pin's time is refreshed at this share of the idle time, so that most packets write
+# nothing.
+REFRESH_SHARE = 1 / 16
+# Each new pin looks at so many old ones: more than one, so that the sweep outruns the
+# growth of the table.
+SWEEP_PER_PIN = 3
+EVICTION_SAMPLE = 16
 
 
 class Pin(NamedTuple):
-    """The upstream that a flow goes to, and when it was last used."""
+    """The upstream that a flow goes to.
+
+    ``number`` is the number of the view under which the pin was made; of two pins of a
+    flow the one with the lower number is older and is kept.
+    """
 
     upstream: UpstreamId
     used_at: float
+    number: int
 
 
 class FlowTable:
-    """Pins of one service by caller, with a bound on their number.
+    """Pins of one service by flow key, with a bound on their number.
 
-    The dictionary is ordered by last use, so expiry looks only at its front.
+    Pins are kept by bucket, so that the flows of a bucket that moves are found without
+    a walk over the table.
 
     :param capacity: the largest number of pins.
     :param idle_seconds: how long a pin outlives its last packet.
@@ -26,34 +41,66 @@
     def __init__(self, *, capacity: int, idle_seconds: float) -> None:
         self.capacity = capacity
         self.idle_seconds = idle_seconds
-        self.pins: dict[Address, Pin] = {}
-
-    def get(self, caller: Address) -> UpstreamId | None:
-        """Return the upstream that a caller's flow is pinned to."""
-        pin = self.pins.get(caller)
-        return pin.upstream if pin else None
-
-    def put(self, caller: Address, upstream: UpstreamId, now: float) -> None:
-        """Pin a flow, or record that a pinned flow is in use."""
-        self.pins.pop(caller, None)
-        self.expire(now, limit=2)
-        self.pins[caller] = Pin(upstream=upstream, used_at=now)
-
-    def expire(self, now: float, limit: int) -> int:
-        """Remove at most ``limit`` idle pins and return how many went."""
-        removed = 0
-        while self.pins and removed < limit:
-            oldest = next(iter(self.pins))
-            full = len(self.pins) >= self.capacity
-            if not full and now - self.pins[oldest].used_at <= self.idle_seconds:
-                break
-            del self.pins[oldest]
-            removed += 1
-        return removed
-
-    def drop_upstream(self, upstream: Address) -> int:
-        """Remove every pin to an address and return how many went."""
-        ended = [c for c, p in self.pins.items() if p.upstream.address == upstream]
-        for caller in ended:
-            del self.pins[caller]
-        return len(ended)
+        self.refresh_seconds = idle_seconds * REFRESH_SHARE
+        self.buckets: list[dict[int, Pin]] = [{} for _ in range(BUCKETS)]
+        self.size = 0
+        self.evicted = 0
+        self.sweep_bucket = 0
+        self.sweep_keys: list[int] = []
+
+    def get(self, key: int) -> Pin | None:
+        """Return the pin of a flow, also when it is idle and not yet removed."""
+        return self.buckets[key >> FINGERPRINT_BITS].get(key)
+
+    def put(self, key: int, pin: Pin) -> None:
+        """Pin a flow; a full table gives up one of its longest idle pins."""
+        bucket = self.buckets[key >> FINGERPRINT_BITS]
+        if key not in bucket:
+            if self.size >= self.capacity:
+                self.evict()
+            self.size += 1
+        bucket[key] = pin
+
+    def touch(self, key: int, pin: Pin, now: float) -> None:
+        """Record that a pinned flow is in use."""
+        if now - pin.used_at > self.refresh_seconds:
+            self.buckets[key >> FINGERPRINT_BITS][key] = pin._replace(used_at=now)
+
+    def remove(self, key: int) -> Pin | None:
+        """Remove the pin of a flow and return it."""
+        pin = self.buckets[key >> FINGERPRINT_BITS].pop(key, None)
+        self.size -= pin is not None
+        return pin
+
+    def is_idle(self, pin: Pin, now: float) -> bool:
+        """Tell whether a pin has outlived its flow."""
+        return now - pin.used_at > self.idle_seconds
+
+    def next_keys(self, limit: int) -> list[int]:
+        """Return the next keys of the sweep, which goes round all buckets."""
+        if not self.sweep_keys:
+            self.sweep_bucket = (self.sweep_bucket + 1) % BUCKETS
+            self.sweep_keys = list(self.buckets[self.sweep_bucket])
+        found = self.sweep_keys[-limit:]
+        del self.sweep_keys[-limit:]
+        return found
+
+    def idle_keys(self, now: float, limit: int = SWEEP_PER_PIN) -> list[int]:
+        """Return those of the next keys of the sweep whose pins are idle."""
+        found = []
+        for key in self.next_keys(limit):
+            pin = self.get(key)
+            if pin is not None and self.is_idle(pin, now):
+                found.append(key)
+        return found
+
+    def evict(self) -> None:
+        """Remove the longest idle pin of a sample of the sweep."""
+        sample: list[tuple[float, int]] = []
+        while not sample:
+            for key in self.next_keys(EVICTION_SAMPLE):
+                pin = self.get(key)
+                if pin is not None:
+                    sample.append((pin.used_at, key))
+        self.remove(min(sample)[1])
+        self.evicted += 1
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -4,8 +4,10 @@
 
 from random import Random
 
+from ..coordination.flows import end_flows_out
 from ..protocol.settings import EntrySettings, peers_of
 from ..state.counters import Counters
+from ..state.flow_state import FlowState
 from ..state.in_force import ConfigurationInForce
 from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry
@@ -13,6 +15,7 @@
 from .application import DEFAULT_DRAIN_SECONDS, Application
 from .capacity import UpstreamCapacity
 from .configuration_client import ConfigurationClient
+from .flow_link import FlowLink
 from .frame_channel import FrameClient, FrameServer
 from .front_ends import FrontEnds
 from .membership import LEASE_SECONDS, Membership
@@ -49,13 +52,22 @@
     capacity = UpstreamCapacity(
         registry=registry, configuration=lambda: in_force.current, rng=Random()
     )
+    flows = FlowState(
+        members=members,
+        registry=registry,
+        in_force=in_force,
+        counters=counters,
+        unreachable=set(),
+    )
     front_ends = FrontEnds(
         host=host,
-        registry=registry,
         in_force=in_force,
         counters=counters,
         capacity=capacity,
+        flows=flows,
     )
+    flow_link = FlowLink(state=flows, link=link, release=front_ends.release)
+    membership.listeners.append(flow_link.on_member)
     registration = Registration(
         address=Address(host=host, port=settings["platform_port"]),
         registry=registry,
@@ -68,6 +80,7 @@
         revision = in_force.current.revision
         members.report = members.report._replace(revision=revision)
         front_ends.reconcile()
+        end_flows_out(flows)
 
     client = ConfigurationClient(
         replicas=peers_of(settings.get("replicas", [])),
@@ -78,7 +91,10 @@
 
     def gauges() -> dict[str, float]:
         return {
-            "flows_held": front_ends.flows_held(),
+            "flows_held": flows.flows_held(),
+            "buckets_unsettled": flows.unsettled_count(),
+            "exceptions_known": flows.exceptions_known(),
+            "view_in_force": flows.view.identity.number,
             "revision_in_force": in_force.current.revision,
             "upstreams_registered": len(registry.records),
             "members_live": len(members.live()),
@@ -98,6 +114,7 @@
         frames,
         frame_server,
         link,
+        flow_link,
         membership,
         front_ends,
         registration,
--- /dev/null
+++ b/src/chervilstage/transport/flow_link.py
@@ -0,0 +1,99 @@
+"""Carries the messages about views and pins between the entries of a group."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from functools import partial
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..coordination.flow_effects import FlowEffect, Release, SendPeer
+from ..coordination.flow_events import (
+    TICK_SECONDS,
+    is_handed_over,
+    run_flows,
+    take_flow_message,
+    take_member_event,
+)
+from ..coordination.membership import MemberEvent
+from ..protocol.flow_messages import KINDS, decode_flow_message, encode_flow_message
+from ..protocol.kinds import Kind
+from ..state.flow_state import FlowState
+from ..state.types import UpstreamId
+from ..state.view import ViewId
+from .application import Hooks
+from .event_log import log_event
+from .peer_link import PeerLink
+
+HAND_OVER_SECONDS = 20.0
+
+ReleaseHandler = Callable[[str, int, UpstreamId | None], None]
+
+
+class FlowLink:
+    """Interprets the effects of the decisions about flows.
+
+    :param release: sends the packets held for a flow of a service.
+    """
+
+    def __init__(
+        self, *, state: FlowState, link: PeerLink, release: ReleaseHandler
+    ) -> None:
+        self.state = state
+        self.link = link
+        self.release = release
+        self.logged = ViewId()
+        self.handed_over = anyio.Event()
+        for kind in KINDS.values():
+            link.register(kind, partial(self.receive, kind))
+
+    def receive(self, kind: Kind, sender: str, body: bytes) -> None:
+        """Take a message of a peer."""
+        message = decode_flow_message(kind, body)
+        self.apply(take_flow_message(self.state, sender, message, time.monotonic()))
+
+    def on_member(self, event: MemberEvent) -> None:
+        """Take a change of the members of the group."""
+        self.apply(take_member_event(self.state, event, time.monotonic()))
+
+    def apply(self, effects: Iterable[FlowEffect]) -> None:
+        """Carry out effects in their order."""
+        for effect in effects:
+            match effect:
+                case SendPeer(peer=peer, message=message):
+                    body = encode_flow_message(message)
+                    self.link.send(peer, KINDS[type(message)], body)
+                case Release(service=service, key=key, upstream=upstream):
+                    self.release(service, key, upstream)
+        view = self.state.view.identity
+        if view != self.logged:
+            self.logged = view
+            log_event("view_in_force", number=view.number, coordinator=view.coordinator)
+
+    async def run(self) -> None:
+        """Do what is due until cancelled."""
+        while True:
+            self.apply(run_flows(self.state, time.monotonic()))
+            if is_handed_over(self.state):
+                self.handed_over.set()
+            await anyio.sleep(TICK_SECONDS)
+
+    async def start(self, group: TaskGroup) -> None:
+        """Begin the periodic work."""
+        group.start_soon(self.run)
+
+    async def drain(self) -> None:
+        """Wait until the peers have the pins that only this entry holds."""
+        with anyio.move_on_after(HAND_OVER_SECONDS) as scope:
+            await self.handed_over.wait()
+        log_event(
+            "pins_handed_over",
+            peers=len(self.state.handed_to),
+            complete=not scope.cancelled_caught,
+        )
+
+    def hooks(self) -> Hooks:
+        """Return the life-cycle hooks."""
+        return Hooks(name="flows", start=self.start, drain=self.drain)
--- a/src/chervilstage/transport/front_ends.py
+++ b/src/chervilstage/transport/front_ends.py
@@ -4,14 +4,14 @@
 
 from typing import NamedTuple
 
-import anyio
 from anyio import CancelScope
 from anyio.abc import TaskGroup
 
 from ..state.configuration import Configuration, Service
 from ..state.counters import Counters
+from ..state.flow_state import FlowState
 from ..state.in_force import ConfigurationInForce
-from ..state.registry import UpstreamRegistry
+from ..state.types import UpstreamId
 from .application import Hooks
 from .capacity import UpstreamCapacity
 from .http_front import HttpFrontEnd
@@ -37,13 +37,13 @@
         self,
         *,
         host: str,
-        registry: UpstreamRegistry,
         in_force: ConfigurationInForce,
         counters: Counters,
         capacity: UpstreamCapacity,
+        flows: FlowState,
     ) -> None:
         self.host = host
-        self.registry = registry
+        self.flows = flows
         self.in_force = in_force
         self.counters = counters
         self.capacity = capacity
@@ -68,13 +68,9 @@
         """Open the front ends of a service."""
         if self.group is None:
             return
+        self.flows.add_service(service)
         relay = ServiceRelay(
-            host=self.host,
-            service=service,
-            registry=self.registry,
-            configuration=self.configuration,
-            counters=self.counters,
-            clock=anyio.current_time,
+            host=self.host, service=service, flows=self.flows, counters=self.counters
         )
         requests = HttpFrontEnd(
             host=self.host,
@@ -91,10 +87,13 @@
         """Close the front ends of a service."""
         for scope in self.open.pop(name).scopes:
             scope.cancel()
+        self.flows.remove_service(name)
 
-    def flows_held(self) -> int:
-        """Return the number of pins over all services."""
-        return sum(len(f.relay.table.pins) for f in self.open.values())
+    def release(self, service: str, key: int, upstream: UpstreamId | None) -> None:
+        """Send the packets that were held for a flow of a service."""
+        front_end = self.open.get(service)
+        if front_end is not None:
+            front_end.relay.release(key, upstream)
 
     async def start(self, group: TaskGroup) -> None:
         """Keep the task group for front ends to run in."""
--- a/src/chervilstage/transport/packet_relay.py
+++ b/src/chervilstage/transport/packet_relay.py
@@ -3,90 +3,102 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+import time
 
 from anyio import CancelScope, create_task_group
 from anyio.abc import TaskGroup
 
-from ..coordination.flows import Forward, route_packet
-from ..errors.requests import MalformedDatagramError
-from ..protocol.proxy_header import decode_datagram, encode_header
-from ..state.configuration import Configuration, Service
-from ..state.counters import Counters
-from ..state.flow_table import FlowTable
-from ..state.registry import UpstreamRegistry
-from ..state.types import Address
-from .datagrams import (
-    bound_address,
-    open_datagram_socket,
-    receive_datagrams,
-    send_datagram,
+from ..coordination.flow_effects import Drop, Forward
+from ..coordination.flows import accepts_answer, route_packet
+from ..protocol.proxy_header import (
+    HEADER_BYTES,
+    PREFIX_BYTES,
+    encode_header,
+    header_writer,
+    packed_address,
+    packed_caller,
+    unpacked_address,
 )
+from ..state.configuration import Service
+from ..state.counters import Counters
+from ..state.flow_state import FlowState
+from ..state.types import Address, UpstreamId
+from ..state.view import flow_key, service_seed
+from .datagrams import bound_address, open_datagram_socket, receive_datagrams
 from .event_log import log_event
-
-Clock = Callable[[], float]
+from .held_packets import HeldPackets
 
 
 class ServiceRelay:
     """Relays the packets of one service.
 
     :param host: the address of this entry for callers and upstreams.
-    :param clock: returns monotonic seconds.
     """
 
     def __init__(
-        self,
-        *,
-        host: str,
-        service: Service,
-        registry: UpstreamRegistry,
-        configuration: Callable[[], Configuration],
-        counters: Counters,
-        clock: Clock,
+        self, *, host: str, service: Service, flows: FlowState, counters: Counters
     ) -> None:
-        self.service = service
-        self.registry = registry
-        self.configuration = configuration
+        self.name = service.name
+        self.flows = flows
         self.counters = counters
-        self.clock = clock
-        self.table = FlowTable(
-            capacity=service.max_flows, idle_seconds=service.flow_idle_seconds
-        )
+        self.seed = service_seed(service.name)
         self.front: socket.socket = open_datagram_socket(host, service.udp_port)
         self.back: socket.socket = open_datagram_socket(host, 0)
         self.front_address = bound_address(self.front)
+        self.write_header = header_writer(self.front_address)
+        self.prefix = encode_header(self.front_address, self.front_address)
+        self.prefix = self.prefix[:PREFIX_BYTES]
+        self.held = HeldPackets()
 
     def receive_from_caller(self, data: bytes, sender: tuple[str, int]) -> None:
         """Route one packet of a caller."""
-        caller = Address._make(sender)
+        caller = packed_address(*sender)
+        key = flow_key(self.seed, caller)
         decision = route_packet(
-            service=self.service.name,
-            caller=caller,
-            table=self.table,
-            registry=self.registry,
-            configuration=self.configuration(),
-            now=self.clock(),
+            state=self.flows, service=self.name, key=key, now=time.monotonic()
         )
-        if not isinstance(decision, Forward):
+        packet = self.write_header(caller) + data
+        if isinstance(decision, Forward):
+            self.send_to_upstream(packet, decision.upstream.address)
+        elif isinstance(decision, Drop):
             self.counters.add("packets_dropped", decision.reason)
+        elif not self.held.hold(key, packet):
+            self.counters.add("packets_dropped", "hold_buffer_full")
+
+    def send_to_upstream(self, packet: bytes, address: Address) -> None:
+        """Send a packet that begins with its header."""
+        try:
+            self.back.sendto(packet, address)
+        except OSError:
+            self.counters.add("packets_dropped", "not_sent")
+            return
+        self.counters.add("packets_forwarded", self.name)
+
+    def release(self, key: int, upstream: UpstreamId | None) -> None:
+        """Send the packets that were held for a flow, or drop them."""
+        packets = self.held.take(key)
+        if upstream is None:
+            self.counters.add("packets_dropped", "no_upstream", len(packets))
             return
-        header = encode_header(caller, self.front_address)
-        send_datagram(self.back, header + data, decision.upstream.address)
-        self.counters.add("packets_forwarded", self.service.name)
+        for packet in packets:
+            self.send_to_upstream(packet, upstream.address)
 
     def receive_from_upstream(self, data: bytes, sender: tuple[str, int]) -> None:
         """Return one packet of an upstream to its caller."""
-        record = self.registry.records.get(Address._make(sender))
-        if record is None or record.identity.service != self.service.name:
-            self.counters.add("packets_dropped", "unknown_upstream")
+        caller = packed_caller(data, self.prefix)
+        if caller is None:
+            self.counters.add("packets_dropped", "malformed_answer")
+            return
+        key = flow_key(self.seed, caller)
+        if not accepts_answer(self.flows, self.name, key, sender):
+            self.counters.add("packets_dropped", "foreign_answer")
             return
         try:
-            datagram = decode_datagram(data)
-        except MalformedDatagramError as error:
-            self.counters.add("packets_dropped", error.code)
+            self.front.sendto(data[HEADER_BYTES:], unpacked_address(caller))
+        except OSError:
+            self.counters.add("packets_dropped", "not_sent")
             return
-        send_datagram(self.front, datagram.payload, datagram.caller)
-        self.counters.add("packets_returned", self.service.name)
+        self.counters.add("packets_returned", self.name)
 
     async def run(self, scope: CancelScope) -> None:
         """Relay packets until the scope is cancelled."""
@@ -107,7 +119,7 @@
         group.start_soon(self.run, scope)
         log_event(
             "packet_front_end_listening",
-            service=self.service.name,
+            service=self.name,
             address=f"{self.front_address.host}:{self.front_address.port}",
         )
         return scope
