Fix holes in the exchange of exceptions that a simulated group shows

Causes, each found in the trace of a broken flow:

- a flow that waited for answers kept its choice under the view before;
- a pin copied from a peer was told on, so that its maker left it out for peers that had the copier's list already;
- what was told early was left out for all peers, not for the one told;
- an entry that had not heard of the view's upstream chose another one;
- an entry that had just started coordinated views.

--- a/src/chervilstage/coordination/flow_events.py
+++ b/src/chervilstage/coordination/flow_events.py
@@ -41,7 +41,7 @@
         case ViewPrepared():
             return take_prepared(state, sender, message, now)
         case ViewActivate():
-            return take_activate(state, sender, message, now)
+            return take_activate(state, sender, message)
         case PinQuery():
             return answer_query(state, sender, message, now)
         case PinAnswer():
--- a/src/chervilstage/coordination/flows.py
+++ b/src/chervilstage/coordination/flows.py
@@ -57,6 +57,7 @@
     known = state.exceptions[service].get(key)
     if known is not None:
         if state.is_usable(known.upstream):
+            state.exchange.hear(flow)
             put_pin(state, flow, known._replace(used_at=now), now)
             return Forward(upstream=known.upstream)
         state.exceptions[service].pop(key)
@@ -75,9 +76,11 @@
         return Drop(reason="too_many_held")
     state.pending[flow] = PendingFlow(
         proposal=proposal,
+        number=state.view.identity.number,
         waiting=frozenset(peers),
         asked_at=float("-inf"),
         since=now,
+        older=state.queries,
     )
     return ASK
 
@@ -85,8 +88,14 @@
 def choose_upstream_of(
     state: FlowState, service: str, bucket: int
 ) -> UpstreamId | None:
-    """Return the upstream of a bucket, or the next one that can be reached."""
+    """Return the upstream of a bucket, or the next one that can be reached.
+
+    An upstream that is not registered here is waited for: another entry has heard of
+    it and may have sent it packets, or the next view leaves it out.
+    """
     chosen = state.view.buckets(service)[bucket]
+    if chosen is not None and chosen.address not in state.registry.records:
+        return None
     if (
         chosen is not None
         and chosen.address not in state.unreachable
--- a/src/chervilstage/coordination/pin_lists.py
+++ b/src/chervilstage/coordination/pin_lists.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..state.flow_messages import ListPage, ListRequest, PinItem
-from ..state.flow_state import FlowState, PullPosition
+from ..state.flow_state import FlowKey, FlowState, PullPosition
 from ..state.types import UpstreamId
 from ..state.view import View
 from .flow_effects import FlowEffect, SendPeer
@@ -47,8 +47,8 @@
 
 
 def _finish_early(state: FlowState) -> None:
-    waiting = (n for n, b in state.early.items() if n in state.members.live_names and b)
-    if not any(waiting):
+    live = state.members.live_names
+    if not any(any(b.values()) for n, b in state.early.items() if n in live):
         acknowledge_view(state)
 
 
@@ -107,7 +107,7 @@
     done: list[int] = []
     after, partial = request.after, -1
     for bucket in request.buckets:
-        told = _bucket_items(state, request, bucket, view)
+        told = _bucket_items(state, sender, request, bucket, view)
         rest = [item for item in told if item.key > after]
         room = PAGE_ITEMS - len(items)
         items.extend(rest[:room])
@@ -118,7 +118,9 @@
         done.append(bucket)
         after = 0
     if not request.whole:
-        state.exchange.told[request.service].update(item.key for item in items)
+        state.exchange.told[sender].update(
+            FlowKey(service=request.service, key=item.key) for item in items
+        )
     page = ListPage(
         view=request.view,
         service=request.service,
@@ -148,7 +150,7 @@
 
 
 def _bucket_items(
-    state: FlowState, request: ListRequest, bucket: int, view: View
+    state: FlowState, sender: str, request: ListRequest, bucket: int, view: View
 ) -> list[PinItem]:
     """Return the exceptions of a bucket, in the order of their keys."""
     service = request.service
@@ -161,10 +163,14 @@
         pins = {**state.exceptions[service].buckets[bucket], **pins}
     else:
         exchange = state.exchange
-        left_out = [exchange.heard[service], exchange.common[service]]
+        left_out = [exchange.heard, exchange.common]
         if not request.early:
-            left_out.append(exchange.told_early[service])
-        pins = {k: p for k, p in pins.items() if not any(k in s for s in left_out)}
+            left_out.append(exchange.told_early[sender])
+        pins = {
+            key: pin
+            for key, pin in pins.items()
+            if not any(FlowKey(service=service, key=key) in s for s in left_out)
+        }
     return [
         PinItem(key=key, upstream=pins[key].upstream, number=pins[key].number)
         for key in sorted(pins)
@@ -179,11 +185,9 @@
     if view is None or view.identity != page.view or early != page.early:
         return []
     take_told(state, page.service, page.items)
-    exchange = state.exchange
     for item in page.items:
-        told = item.key in exchange.told[page.service]
-        if not told and not _differs(state, page.service, item.key, item.upstream):
-            exchange.heard[page.service].add(item.key)
+        if not _differs(state, page.service, item.key, item.upstream):
+            state.exchange.hear(FlowKey(service=page.service, key=item.key))
     remaining = missing.get(page.service, set())
     remaining.difference_update(page.done)
     for peer in state.whole.intersection(page.known_of):
--- a/src/chervilstage/coordination/pin_queries.py
+++ b/src/chervilstage/coordination/pin_queries.py
@@ -10,7 +10,7 @@
 from ..state.types import UpstreamId
 from ..state.view import bucket_of
 from .flow_effects import FlowEffect, Release, SendPeer
-from .flows import pin_flow, put_pin
+from .flows import choose_upstream_of, pin_flow, put_pin
 
 # A packet is held for at most this long; a caller's retransmission comes later.
 HOLD_SECONDS = 0.25
@@ -29,7 +29,7 @@
         if now - pending.asked_at < RESEND_SECONDS:
             continue
         state.pending[flow] = pending._replace(asked_at=now)
-        item = PinItem(key=flow.key, upstream=pending.proposal)
+        item = PinItem(key=flow.key, upstream=pending.proposal, number=pending.number)
         for peer in pending.waiting:
             due[(peer, flow.service)].append(item)
     effects: list[FlowEffect] = []
@@ -62,15 +62,15 @@
 ) -> list[FlowEffect]:
     """Answer a peer's query.
 
-    Of two entries that ask about one flow at once the lower name's choice is taken by
-    both: the higher one takes it from the query, the lower one states its own.
+    Of two entries that ask about one flow at once both take the choice under the newer
+    view, and the lower name's choice under the same view.
     """
     if query.service not in state.tables:
         return []
     items = []
     for item in query.items:
         flow = FlowKey(service=query.service, key=item.key)
-        known = known_pin(state, flow, now)
+        known = known_pin(state, flow, now, not query.confirm)
         if known is None and not query.confirm:
             known = _meet_choice(state, sender, flow, item)
         if known is not None:
@@ -79,18 +79,22 @@
     return [SendPeer(peer=sender, message=answer)]
 
 
-def known_pin(state: FlowState, flow: FlowKey, now: float) -> PinItem | None:
-    """Return what this entry holds of a flow, if its upstream can be used."""
+def known_pin(
+    state: FlowState, flow: FlowKey, now: float, exceptions: bool
+) -> PinItem | None:
+    """Return what this entry holds of a flow, if its upstream can be used.
+
+    :param exceptions: whether an exception without a pin counts.
+    """
     table = state.tables[flow.service]
     pin = table.get(flow.key)
-    pinned = pin is not None and not table.is_idle(pin, now)
-    if not pinned:
+    if pin is not None and table.is_idle(pin, now):
+        pin = None
+    if pin is None and exceptions:
         pin = state.exceptions[flow.service].get(flow.key)
     if pin is None or not state.is_usable(pin.upstream):
         return None
-    return PinItem(
-        key=flow.key, upstream=pin.upstream, number=pin.number, pinned=pinned
-    )
+    return PinItem(key=flow.key, upstream=pin.upstream, number=pin.number, pinned=True)
 
 
 def _meet_choice(
@@ -99,24 +103,29 @@
     own = state.pending.get(flow)
     if own is None:
         return None
-    if sender < state.name:
-        _improve(state, flow, sender, item, pinned=False)
+    if (-item.number, sender) < (-own.number, state.name):
+        if state.is_usable(item.upstream):
+            _improve(state, flow, sender, item)
         return None
-    best = own.best.upstream if own.best else own.proposal
-    return PinItem(key=flow.key, upstream=best)
+    return PinItem(key=flow.key, upstream=own.proposal, number=own.number)
 
 
-def _improve(
-    state: FlowState, flow: FlowKey, sender: str, item: PinItem, pinned: bool
-) -> None:
-    """Keep an answer if it is better: a pin, then the oldest, then the lowest name."""
+def _improve(state: FlowState, flow: FlowKey, sender: str, item: PinItem) -> None:
+    """Keep an answer if it is better than the best so far."""
     held = state.pending[flow]
     pin = Pin(upstream=item.upstream, used_at=held.since, number=item.number)
     if held.best is not None:
-        rank = (not held.best_pinned, held.best.number, held.best_from)
-        if rank <= (not pinned, pin.number, sender):
+        rank = _rank(held.best_pinned, held.best.number, held.best_from)
+        if rank <= _rank(item.pinned, item.number, sender):
             return
-    state.pending[flow] = held._replace(best=pin, best_pinned=pinned, best_from=sender)
+    state.pending[flow] = held._replace(
+        best=pin, best_pinned=item.pinned, best_from=sender
+    )
+
+
+def _rank(pinned: bool, number: int, name: str) -> tuple[bool, int, str]:
+    """Order answers: the oldest pin first, then the choice under the newest view."""
+    return (not pinned, number if pinned else -number, name)
 
 
 def take_answer(
@@ -130,11 +139,11 @@
         item = items.get(key)
         if flow in state.confirming:
             _take_confirmation(state, sender, flow, item, now)
-        if flow not in state.pending:
+        pending = state.pending.get(flow)
+        if pending is None or answer.query <= pending.older:
             continue
-        if item is not None and state.is_usable(item.upstream):
-            stated = item.pinned or item.number > 0
-            _improve(state, flow, sender, item, pinned=stated)
+        if item is not None and (item.pinned or state.is_usable(item.upstream)):
+            _improve(state, flow, sender, item)
         pending = state.pending[flow]
         waiting = pending.waiting - {sender}
         state.pending[flow] = pending._replace(waiting=waiting)
@@ -151,12 +160,16 @@
     best = pending.best
     upstream = best.upstream if best else pending.proposal
     if not state.is_usable(upstream):
+        state.counters.add("flows_undecided", flow.service)
         return [Release(service=flow.service, key=flow.key, upstream=None)]
+    released = Release(service=flow.service, key=flow.key, upstream=upstream)
     if best and pending.best_pinned:
+        # Whoever made the pin tells all entries of it; telling it here too would make
+        # that entry leave it out for peers that have this entry's list already.
+        state.exchange.hear(flow)
         put_pin(state, flow, best._replace(used_at=now), now)
-    else:
-        pin_flow(state, flow, upstream, now)
-    released = Release(service=flow.service, key=flow.key, upstream=upstream)
+        return [released]
+    pin_flow(state, flow, upstream, now)
     return [released, *tell_exception(state, flow, upstream)]
 
 
@@ -176,6 +189,28 @@
     ]
 
 
+def ask_again(state: FlowState) -> None:
+    """Ask anew about every flow after a view has come in force.
+
+    An earlier answer may be older than a pin that its sender made under the view
+    before, and an earlier choice may differ from the new view.
+    """
+    for flow, pending in list(state.pending.items()):
+        proposal = choose_upstream_of(state, flow.service, bucket_of(flow.key))
+        if proposal is None:
+            continue
+        state.pending[flow] = pending._replace(
+            proposal=proposal,
+            number=state.view.identity.number,
+            waiting=pending.waiting.union(state.members.live_names),
+            asked_at=float("-inf"),
+            since=state.ticked_at,
+            older=state.queries,
+            best=None,
+            best_pinned=False,
+        )
+
+
 def expire_pending(state: FlowState, now: float) -> list[FlowEffect]:
     """Decide the flows that have been held for as long as is allowed."""
     live = state.members.live_names.union(state.missing)
@@ -199,7 +234,7 @@
     for item in items:
         flow = FlowKey(service=service, key=item.key)
         if flow in state.pending:
-            _improve(state, flow, "", item, pinned=True)
+            _improve(state, flow, "", item._replace(pinned=True))
         pin = table.get(item.key)
         told = Pin(upstream=item.upstream, used_at=state.ticked_at, number=item.number)
         if pin is None:
--- a/src/chervilstage/coordination/view_change.py
+++ b/src/chervilstage/coordination/view_change.py
@@ -9,6 +9,7 @@
 from ..state.types import UpstreamId
 from ..state.view import EMPTY_MAP, View, ViewId, changed_buckets
 from .flow_effects import FlowEffect, SendPeer
+from .pin_queries import ask_again
 
 NO_VIEW = View()
 
@@ -110,7 +111,7 @@
 
 
 def take_activate(
-    state: FlowState, sender: str, activate: ViewActivate, now: float
+    state: FlowState, sender: str, activate: ViewActivate
 ) -> list[FlowEffect]:
     """Put a prepared view in force."""
     if state.view.identity == activate.view:
@@ -132,5 +133,6 @@
     state.view = state.prepared
     state.prepared = None
     state.exchange.activate()
+    ask_again(state)
     report = state.members.report
     state.members.report = report._replace(view_number=state.view.identity.number)
--- a/src/chervilstage/coordination/view_rounds.py
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -20,9 +20,24 @@
 
 
 def is_coordinator(state: FlowState) -> bool:
-    """Tell whether this entry is the live entry with the lowest name."""
-    staying = [n for n in state.members.live() if state.members.is_staying(n)]
-    return (staying or state.members.live())[0] == state.name
+    """Tell whether this entry coordinates the views of its group.
+
+    The live entry with the lowest name does, of those that stay and have a view in
+    force. An entry that has just started or was paused waits for its peers first.
+    """
+    if state.doubtful_until != float("inf"):
+        return False
+    members = state.members
+    live = members.live()
+    staying = [name for name in live if members.is_staying(name)] or live
+    with_view = [name for name in staying if _reported_view(state, name)]
+    return (with_view or staying)[0] == state.name
+
+
+def _reported_view(state: FlowState, name: str) -> int:
+    if name == state.name:
+        return state.view.identity.number
+    return state.members.members[name].report.view_number
 
 
 def view_weights(state: FlowState) -> dict[str, dict[UpstreamId, float]]:
--- a/src/chervilstage/state/flow_messages.py
+++ b/src/chervilstage/state/flow_messages.py
@@ -49,8 +49,8 @@
 class PinItem(NamedTuple):
     """What an entry says of one flow.
 
-    ``pinned`` is false for a choice that is not made yet, and for one that was only
-    heard from another entry.
+    ``pinned`` is false for a choice that is not made yet; ``number`` is then that of
+    the view in force.
     """
 
     key: int
--- a/src/chervilstage/state/flow_state.py
+++ b/src/chervilstage/state/flow_state.py
@@ -27,14 +27,17 @@
 class PendingFlow(NamedTuple):
     """A flow without a pin whose peers have been asked.
 
-    ``waiting`` are the peers that have not answered; ``best`` is the best answer so
-    far and who gave it.
+    ``number`` is that of the view under which ``proposal`` was chosen. ``waiting`` are
+    the peers that have not answered; ``best`` is the best answer so far and who gave
+    it. Answers to queries up to ``older`` do not count.
     """
 
     proposal: UpstreamId
+    number: int
     waiting: frozenset[str]
     asked_at: float
     since: float
+    older: int
     best: Pin | None = None
     best_pinned: bool = False
     best_from: str = ""
@@ -80,34 +83,49 @@
     """What has been told and heard of pins since the present view was prepared.
 
     A key that a peer has told is left out of this entry's own lists, unless this
-    entry has told it to someone already: it must then tell it to all. The keys are
-    held by service. ``common`` are the keys that every entry has heard of in earlier
-    exchanges.
+    entry has told it to someone already: it must then tell it to all. What was told
+    early is left out after activation, for the peer that was told: a flow may be
+    pinned between the early lists of two peers. ``common`` are the keys that every
+    entry has heard of in earlier exchanges.
     """
 
     def __init__(self) -> None:
-        self.told_early: defaultdict[str, set[int]] = defaultdict(set)
-        self.told: defaultdict[str, set[int]] = defaultdict(set)
-        self.heard: defaultdict[str, set[int]] = defaultdict(set)
-        self.common: defaultdict[str, set[int]] = defaultdict(set)
+        self.told_early: defaultdict[str, set[FlowKey]] = defaultdict(set)
+        self.told: defaultdict[str, set[FlowKey]] = defaultdict(set)
+        self.heard: set[FlowKey] = set()
+        self.common: set[FlowKey] = set()
 
     def begin(self, *, finished: bool) -> None:
         """Begin the exchange of another view.
 
         :param finished: every entry had every list of the exchange before.
         """
-        for keys in (self.told_early, self.told, self.heard):
-            if finished:
-                for service, found in keys.items():
-                    self.common[service] |= found
-            keys.clear()
+        told = [*self.told_early.values(), *self.told.values()]
+        if finished:
+            self.common.update(self.heard, *told)
+        self.told_early.clear()
+        self.told.clear()
+        self.heard.clear()
 
     def activate(self) -> None:
         """Begin the second part, after the view has come in force."""
-        for service, keys in self.told.items():
-            self.told_early[service] |= keys
+        for peer, keys in self.told.items():
+            self.told_early[peer] |= keys
         self.told.clear()
 
+    def hear(self, flow: FlowKey) -> None:
+        """Record that a peer tells everyone of a flow."""
+        told = (*self.told_early.values(), *self.told.values())
+        if not any(flow in keys for keys in told):
+            self.heard.add(flow)
+
+    def forget(self, flow: FlowKey) -> None:
+        """Forget a flow, as its key may come to mean another one."""
+        self.heard.discard(flow)
+        self.common.discard(flow)
+        for keys in (*self.told_early.values(), *self.told.values()):
+            keys.discard(flow)
+
 
 class FlowState:
     """All that the decisions about flows of one entry work on.
@@ -242,15 +260,8 @@
         return sum(known.size for known in self.exceptions.values())
 
     def forget_told(self, service: str, key: int) -> None:
-        """Forget that a flow was told of, as its key may come to mean another flow."""
-        exchange = self.exchange
-        for keys in (
-            exchange.told_early,
-            exchange.told,
-            exchange.heard,
-            exchange.common,
-        ):
-            keys[service].discard(key)
+        """Forget that a flow was told of."""
+        self.exchange.forget(FlowKey(service=service, key=key))
 
     def next_view_id(self) -> ViewId:
         """Return an identity above every number that has been seen."""
--- /dev/null
+++ b/testing/support/flow_group.py
@@ -0,0 +1,323 @@
+"""A group of entries whose decisions about flows run over fakes."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from random import Random
+
+from chervilstage.coordination.flow_effects import Ask, FlowEffect, Forward, SendPeer
+from chervilstage.coordination.flow_events import (
+    TICK_SECONDS,
+    is_handed_over,
+    run_flows,
+    take_flow_message,
+    take_member_event,
+)
+from chervilstage.coordination.flows import end_flows_out, route_packet
+from chervilstage.coordination.membership import (
+    expire_members,
+    make_heartbeat,
+    receive_heartbeat,
+)
+from chervilstage.state.configuration import Configuration, Inventory, Service
+from chervilstage.state.counters import Counters
+from chervilstage.state.flow_state import FlowState
+from chervilstage.state.in_force import ConfigurationInForce
+from chervilstage.state.members import Heartbeat, MemberReport, MemberTable
+from chervilstage.state.registry import UpstreamRegistry
+from chervilstage.state.types import (
+    Address,
+    Peer,
+    UpstreamId,
+    UpstreamPhase,
+    UpstreamRecord,
+)
+from chervilstage.state.view import ViewId, flow_key, service_seed
+
+from .fakes import FakeClock, FakeNetwork
+
+HEARTBEAT_TICKS = 12
+ANNOUNCE_TICKS = 50
+LEASE_SECONDS = 1.0
+SERVICES = ("alley-desk", "league-ledger")
+
+
+class Node:
+    """One entry of the group."""
+
+    def __init__(self, *, state: FlowState) -> None:
+        self.state = state
+        self.frozen = False
+        self.stopping = False
+        self.heard: list[tuple[str, object]] = []
+        self.held: defaultdict[tuple[str, int], int] = defaultdict(int)
+
+
+class FlowGroup:
+    """Entries, their network, and what callers and upstreams see.
+
+    ``first`` is the upstream that first got a packet of each flow. ``broken`` lists
+    the flows whose packets went elsewhere while it was there.
+
+    :param on_send: called with each message between entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        names: Iterable[str],
+        rng: Random,
+        loss: float = 0.0,
+        delay: float = 0.01,
+        idle_seconds: float = 300.0,
+        max_flows: int = 400_000,
+        services: Iterable[str] = SERVICES,
+        on_send: Callable[[str, object], None] | None = None,
+    ) -> None:
+        self.clock = FakeClock()
+        self.rng = rng
+        self.network = FakeNetwork(clock=self.clock, rng=rng, loss=loss, delay=delay)
+        self.names = sorted(names)
+        self.services = [
+            Service(
+                name=name,
+                data_centres=(),
+                udp_port=0,
+                tcp_port=0,
+                flow_idle_seconds=idle_seconds,
+                max_flows=max_flows,
+            )
+            for name in services
+        ]
+        self.seeds = {s.name: service_seed(s.name) for s in self.services}
+        self.on_send = on_send
+        self.configuration = Configuration(
+            revision=1, inventory=Inventory(services=tuple(self.services))
+        )
+        self.nodes: dict[str, Node] = {}
+        self.records: dict[Address, UpstreamRecord] = {}
+        self.first: dict[tuple[str, int], UpstreamId] = {}
+        self.used_at: dict[tuple[str, int], float] = {}
+        self.seen_by: defaultdict[tuple[str, int], set[str]] = defaultdict(set)
+        self.broken: list[tuple[str, int]] = []
+        self.foreign = 0
+        self.placed: Counter[UpstreamId] = Counter()
+        self.late_placements: list[UpstreamId] = []
+        self.leaving_since: dict[UpstreamId, float] = {}
+        self.incarnation = 0
+        self.ticks = 0
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry without any state."""
+        self.incarnation += 1
+        peers = [
+            Peer(name=n, data_centre="dc", address=Address(host=n, port=1))
+            for n in self.names
+            if n != name
+        ]
+        members = MemberTable(
+            name=name, data_centre="dc", peers=peers, lease_seconds=LEASE_SECONDS
+        )
+        members.report = MemberReport(incarnation=self.incarnation)
+        state = FlowState(
+            members=members,
+            registry=UpstreamRegistry(),
+            in_force=ConfigurationInForce(),
+            counters=Counters(),
+            unreachable=set(),
+        )
+        state.in_force.take(self.configuration)
+        for service in self.services:
+            state.add_service(service)
+        for record in self.records.values():
+            state.registry.merge(record, self.clock.now)
+        self.nodes[name] = Node(state=state)
+
+    def stop_entry(self, name: str) -> None:
+        """Begin a planned stop; the entry goes once its pins are handed over."""
+        node = self.nodes[name]
+        members = node.state.members
+        node.stopping = True
+        members.report = members.report._replace(leaving=True)
+
+    def kill_entry(self, name: str) -> None:
+        """End an entry at once."""
+        del self.nodes[name]
+
+    def announce(self, record: UpstreamRecord) -> None:
+        """Let every entry hear of an upstream, each at a time of its own."""
+        self.records[record.identity.address] = record
+        if record.phase is UpstreamPhase.LEAVING:
+            self.leaving_since.setdefault(record.identity, self.clock.now)
+        for name in self.nodes:
+            self.network.send(f"upstream-{record.sequence}", name, record)
+
+    def add_upstream(
+        self,
+        service: str,
+        port: int,
+        incarnation: int = 1,
+        data_centre: str = "dc",
+        phase: UpstreamPhase = UpstreamPhase.READY,
+    ) -> UpstreamId:
+        """Announce an upstream and return its identity."""
+        address = Address(host="upstream", port=port)
+        identity = UpstreamId(address=address, incarnation=incarnation, service=service)
+        before = self.records.get(address)
+        sequence = before.sequence + 1 if before else 1
+        self.announce(
+            UpstreamRecord(
+                identity=identity,
+                request_address=address,
+                data_centre=data_centre,
+                sequence=sequence,
+                phase=phase,
+                slots=4,
+                load=0,
+            )
+        )
+        return identity
+
+    def take_out(self, data_centre: str) -> None:
+        """Put a configuration in force that takes a data centre out."""
+        self.configuration = self.configuration._replace(
+            revision=self.configuration.revision + 1, out=frozenset({data_centre})
+        )
+        for node in self.nodes.values():
+            node.state.in_force.take(self.configuration)
+            end_flows_out(node.state)
+
+    def packet(self, name: str, service: str, flow: int) -> None:
+        """Let a caller's packet arrive at an entry."""
+        node = self.nodes[name]
+        if node.frozen:
+            return
+        key = flow_key(self.seeds[service], flow.to_bytes(6, "big"))
+        decision = route_packet(
+            state=node.state, service=service, key=key, now=self.clock.now
+        )
+        if isinstance(decision, Forward):
+            self.deliver(name, service, key, decision.upstream)
+        elif isinstance(decision, Ask):
+            node.held[(service, key)] += 1
+
+    def deliver(self, name: str, service: str, key: int, upstream: UpstreamId) -> None:
+        """Check a packet that an entry sends to an upstream."""
+        flow = (service, key)
+        record = self.nodes[name].state.registry.records.get(upstream.address)
+        if record is None or record.identity.service != service:
+            self.foreign += 1
+        first = self.first.get(flow)
+        if first is None or self.is_over(flow, first):
+            self.first[flow] = upstream
+            self.placed[upstream] += 1
+            self.seen_by[flow] = set()
+            since = self.leaving_since.get(upstream)
+            if since is not None and self.clock.now - since > 2.0:
+                self.late_placements.append(upstream)
+        elif upstream != first:
+            self.broken.append(flow)
+            self.first[flow] = upstream
+        self.used_at[flow] = self.clock.now
+        self.seen_by[flow].add(name)
+
+    def is_over(self, flow: tuple[str, int], upstream: UpstreamId) -> bool:
+        """Tell whether a flow has ended: it was idle, or its upstream is gone."""
+        record = self.records[upstream.address]
+        idle = self.clock.now - self.used_at[flow] > self.services[0].flow_idle_seconds
+        out = record.data_centre in self.configuration.out
+        return idle or out or record.identity != upstream
+
+    def apply(self, name: str, effects: Iterable[FlowEffect]) -> None:
+        """Carry out the effects of an entry's decision."""
+        for effect in effects:
+            if isinstance(effect, SendPeer):
+                self.send(name, effect.peer, effect.message)
+                continue
+            node = self.nodes[name]
+            held = node.held.pop((effect.service, effect.key), 0)
+            if held and effect.upstream is not None:
+                self.deliver(name, effect.service, effect.key, effect.upstream)
+
+    def send(self, sender: str, receiver: str, message: object) -> None:
+        """Send a message between entries."""
+        if self.on_send is not None:
+            self.on_send(sender, message)
+        self.network.send(sender, receiver, message)
+
+    def receive(self, name: str, sender: str, message: object) -> None:
+        """Let an entry take a message."""
+        state = self.nodes[name].state
+        now = self.clock.now
+        if isinstance(message, UpstreamRecord):
+            state.registry.merge(message, now)
+        elif isinstance(message, Heartbeat):
+            for event in receive_heartbeat(state.members, sender, message, now):
+                self.apply(name, take_member_event(state, event, now))
+        else:
+            self.apply(name, take_flow_message(state, sender, message, now))
+
+    def tick(self) -> None:
+        """Move the clock by one tick and let everything happen that is due."""
+        self.clock.now += TICK_SECONDS
+        self.ticks += 1
+        if self.ticks % ANNOUNCE_TICKS == 0:
+            for record in self.records.values():
+                self.announce(record)
+        for parcel in self.network.due():
+            node = self.nodes.get(parcel.receiver)
+            if node is None:
+                continue
+            if node.frozen:
+                node.heard.append((parcel.sender, parcel.message))
+            else:
+                self.receive(parcel.receiver, parcel.sender, parcel.message)
+        for name in sorted(self.nodes):
+            if not self.nodes[name].frozen:
+                self.run_entry(name)
+
+    def run_entry(self, name: str) -> None:
+        """Do what is due at an entry."""
+        node = self.nodes[name]
+        state, now = node.state, self.clock.now
+        place = self.names.index(name)
+        if (self.ticks + place) % HEARTBEAT_TICKS == 0:
+            for event in expire_members(state.members, now):
+                self.apply(name, take_member_event(state, event, now))
+            for peer in state.members.members:
+                self.send(name, peer, make_heartbeat(state.members, peer, now))
+        self.apply(name, run_flows(state, now))
+        if node.stopping and is_handed_over(state):
+            del self.nodes[name]
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen entry go on; packets come first, as they may in a process."""
+        node = self.nodes[name]
+        node.frozen = False
+        waiting, node.heard = node.heard, []
+        self.run_entry(name)
+        for sender, message in waiting:
+            self.receive(name, sender, message)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(max(1, round(seconds / TICK_SECONDS))):
+            self.tick()
+
+    def settle(self, seconds: float = 60.0) -> bool:
+        """Let time pass until every entry has settled one view, and tell if so."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.tick()
+            states = [node.state for node in self.nodes.values()]
+            views = {state.view.identity for state in states}
+            if (
+                views != {ViewId()}
+                and len(views) == 1
+                and all(
+                    s.is_settled() and s.prepared is None and s.round is None
+                    for s in states
+                )
+            ):
+                return True
+        return False
