Hand pins over at a planned stop and add the simulated group and its machines

Mended here: pins to addresses that changed hands no longer outrank newer pins; a flow is not placed before every live peer has answered or is lost; an entry answers only peers that it counts as live; an asker with an older view takes the newer choice.

--- a/src/chervilstage/coordination/flow_events.py
+++ b/src/chervilstage/coordination/flow_events.py
@@ -4,6 +4,8 @@
 
 from ..state.flow_messages import (
     FlowMessage,
+    HeldPage,
+    HeldRequest,
     ListPage,
     ListRequest,
     PinAnswer,
@@ -15,6 +17,7 @@
 )
 from ..state.flow_state import FlowState
 from .flow_effects import FlowEffect
+from .hand_over import answer_held, hand_over_pins, take_held
 from .membership import MemberEvent, MemberEventKind
 from .pin_lists import answer_list, pull_lists, take_page
 from .pin_queries import (
@@ -53,6 +56,11 @@
             return answer_list(state, sender, message)
         case ListPage():
             return take_page(state, sender, message, now)
+        case HeldRequest():
+            return answer_held(state, sender, message)
+        case HeldPage():
+            take_held(state, sender, message, now)
+            return []
 
 
 def run_flows(state: FlowState, now: float) -> list[FlowEffect]:
@@ -61,6 +69,7 @@
     state.ticked_at = now
     effects = run_rounds(state, now)
     effects += pull_lists(state, now)
+    effects += hand_over_pins(state, now)
     effects += send_queries(state, now)
     effects += expire_pending(state, now)
     effects += confirm_exceptions(state, now)
@@ -115,9 +124,3 @@
         for other in sorted(state.members.live_names):
             state.mark_missing(other, untold)
             state.whole.add(other)
-
-
-def is_handed_over(state: FlowState) -> bool:
-    """Tell whether this entry leaves and every live peer has its pins."""
-    leaving = state.members.report.leaving
-    return leaving and state.members.live_names <= state.handed_to
--- a/src/chervilstage/coordination/flows.py
+++ b/src/chervilstage/coordination/flows.py
@@ -16,6 +16,8 @@
 # Bounds the memory for flows that wait for answers; at 3,000 new flows a second it is
 # over a second of them.
 MAXIMUM_PENDING = 4_096
+# A peer may tell of an upstream before its announcement has come here.
+UNKNOWN_SECONDS = 10.0
 
 
 def in_service(
@@ -60,6 +62,9 @@
             state.exchange.hear(flow)
             put_pin(state, flow, known._replace(used_at=now), now)
             return Forward(upstream=known.upstream)
+        waited = now - known.used_at
+        if waited < UNKNOWN_SECONDS and not state.has_ended(known.upstream):
+            return Drop(reason="upstream_unknown")
         state.exceptions[service].pop(key)
         state.forget_told(service, key)
         count_broken(state, service, known.upstream)
@@ -69,6 +74,9 @@
     if proposal is None:
         return Drop(reason="no_upstream")
     peers = peers_to_ask(state, service, bucket_of(key), proposal, now)
+    heir = heir_of(state, service, bucket_of(key))
+    if heir is not None:
+        peers = [heir]
     if not peers:
         pin_flow(state, flow, proposal, now)
         return Forward(upstream=proposal)
@@ -81,10 +89,26 @@
         asked_at=float("-inf"),
         since=now,
         older=state.queries,
+        adopt=heir is not None,
     )
     return ASK
 
 
+def staying_peers(state: FlowState) -> list[str]:
+    """Return the live peers that are not on their way out."""
+    members = state.members
+    return [n for n in members.live() if n != state.name and members.is_staying(n)]
+
+
+def heir_of(state: FlowState, service: str, bucket: int) -> str | None:
+    """Return the peer that has taken over a bucket of this entry."""
+    hand_over = state.hand_over
+    if hand_over is None or not hand_over.is_handed(service, bucket):
+        return None
+    peers = staying_peers(state)
+    return peers[bucket % len(peers)] if peers else None
+
+
 def choose_upstream_of(
     state: FlowState, service: str, bucket: int
 ) -> UpstreamId | None:
--- a/src/chervilstage/coordination/pin_lists.py
+++ b/src/chervilstage/coordination/pin_lists.py
@@ -157,7 +157,9 @@
     table = state.tables[service]
     chosen = view.buckets(service)[bucket]
     pins = {
-        key: pin for key, pin in table.buckets[bucket].items() if pin.upstream != chosen
+        key: pin
+        for key, pin in table.buckets[bucket].items()
+        if pin.upstream != chosen and state.is_usable(pin.upstream)
     }
     if request.whole:
         pins = {**state.exceptions[service].buckets[bucket], **pins}
--- a/src/chervilstage/coordination/pin_queries.py
+++ b/src/chervilstage/coordination/pin_queries.py
@@ -10,10 +10,13 @@
 from ..state.types import UpstreamId
 from ..state.view import bucket_of
 from .flow_effects import FlowEffect, Release, SendPeer
-from .flows import choose_upstream_of, pin_flow, put_pin
+from .flows import choose_upstream_of, place_flow, put_pin
+from .hand_over import adopt_pin, take_adopted
 
-# A packet is held for at most this long; a caller's retransmission comes later.
-HOLD_SECONDS = 0.25
+# A packet is held for at most this long: within a lease of 1 s a peer answers or is
+# counted as lost. Without the answer of a live peer a flow is not placed, as the peer
+# may hold its pin; the caller's retransmission asks again.
+HOLD_SECONDS = 1.2
 RESEND_SECONDS = 0.08
 QUERY_ITEMS = 120
 # Answers to older queries are ignored; the flows are asked about again.
@@ -24,37 +27,29 @@
 
 def send_queries(state: FlowState, now: float) -> list[FlowEffect]:
     """Return the queries that are due, many flows in each."""
-    due: defaultdict[tuple[str, str], list[PinItem]] = defaultdict(list)
+    due: defaultdict[tuple[str, str, bool], list[PinItem]] = defaultdict(list)
     for flow, pending in state.pending.items():
         if now - pending.asked_at < RESEND_SECONDS:
             continue
         state.pending[flow] = pending._replace(asked_at=now)
         item = PinItem(key=flow.key, upstream=pending.proposal, number=pending.number)
         for peer in pending.waiting:
-            due[(peer, flow.service)].append(item)
+            due[(peer, flow.service, pending.adopt)].append(item)
     effects: list[FlowEffect] = []
-    for (peer, service), items in sorted(due.items()):
+    for (peer, service, adopt), items in sorted(due.items()):
         for start in range(0, len(items), QUERY_ITEMS):
             part = tuple(items[start : start + QUERY_ITEMS])
-            effects.append(_query(state, peer, service, part))
+            query = _query(state, service, part)._replace(adopt=adopt)
+            effects.append(SendPeer(peer=peer, message=query))
     return effects
 
 
-def _query(
-    state: FlowState,
-    peer: str,
-    service: str,
-    items: tuple[PinItem, ...],
-    confirm: bool = False,
-) -> SendPeer:
+def _query(state: FlowState, service: str, items: tuple[PinItem, ...]) -> PinQuery:
     state.queries += 1
     state.asked[state.queries] = tuple(item.key for item in items)
     while len(state.asked) > MAXIMUM_QUERIES:
         del state.asked[next(iter(state.asked))]
-    message = PinQuery(
-        query=state.queries, service=service, items=items, confirm=confirm
-    )
-    return SendPeer(peer=peer, message=message)
+    return PinQuery(query=state.queries, service=service, items=items)
 
 
 def answer_query(
@@ -65,11 +60,15 @@
     Of two entries that ask about one flow at once both take the choice under the newer
     view, and the lower name's choice under the same view.
     """
-    if query.service not in state.tables:
+    if query.service not in state.tables or sender not in state.members.live_names:
+        # This entry asks nothing of an entry that it counts as lost, so it must not
+        # let that entry place flows either.
         return []
     items = []
     for item in query.items:
         flow = FlowKey(service=query.service, key=item.key)
+        if query.adopt:
+            _adopt(state, flow, item, now)
         known = known_pin(state, flow, now, not query.confirm)
         if known is None and not query.confirm:
             known = _meet_choice(state, sender, flow, item)
@@ -79,6 +78,15 @@
     return [SendPeer(peer=sender, message=answer)]
 
 
+def _adopt(state: FlowState, flow: FlowKey, item: PinItem, now: float) -> None:
+    """Pin a flow for a leaving peer; one that has to be asked about comes again."""
+    if state.tables[flow.service].get(flow.key) is None:
+        if item.pinned:
+            adopt_pin(state, flow, item, now)
+        else:
+            place_flow(state, flow.service, flow.key, now)
+
+
 def known_pin(
     state: FlowState, flow: FlowKey, now: float, exceptions: bool
 ) -> PinItem | None:
@@ -102,7 +110,7 @@
 ) -> PinItem | None:
     own = state.pending.get(flow)
     if own is None:
-        return None
+        return _newer_choice(state, flow, item)
     if (-item.number, sender) < (-own.number, state.name):
         if state.is_usable(item.upstream):
             _improve(state, flow, sender, item)
@@ -110,6 +118,17 @@
     return PinItem(key=flow.key, upstream=own.proposal, number=own.number)
 
 
+def _newer_choice(state: FlowState, flow: FlowKey, item: PinItem) -> PinItem | None:
+    """Return this entry's choice if its view is newer than that of the asker."""
+    number = state.view.identity.number
+    if item.number >= number:
+        return None
+    upstream = choose_upstream_of(state, flow.service, bucket_of(flow.key))
+    if upstream is None:
+        return None
+    return PinItem(key=flow.key, upstream=upstream, number=number)
+
+
 def _improve(state: FlowState, flow: FlowKey, sender: str, item: PinItem) -> None:
     """Keep an answer if it is better than the best so far."""
     held = state.pending[flow]
@@ -133,6 +152,7 @@
 ) -> list[FlowEffect]:
     """Take an answer; flows of its query that it leaves out the peer does not know."""
     items = {item.key: item for item in answer.items}
+    take_adopted(state, answer.service, answer.items)
     effects: list[FlowEffect] = []
     for key in state.asked.pop(answer.query, ()):
         flow = FlowKey(service=answer.service, key=key)
@@ -142,9 +162,11 @@
         pending = state.pending.get(flow)
         if pending is None or answer.query <= pending.older:
             continue
-        if item is not None and (item.pinned or state.is_usable(item.upstream)):
+        if item is not None and _counts(state, item):
             _improve(state, flow, sender, item)
         pending = state.pending[flow]
+        if pending.adopt and not pending.best_pinned:
+            continue
         waiting = pending.waiting - {sender}
         state.pending[flow] = pending._replace(waiting=waiting)
         if not waiting:
@@ -152,6 +174,16 @@
     return effects
 
 
+def _counts(state: FlowState, item: PinItem) -> bool:
+    """Tell whether an answer bears on a flow.
+
+    A pin to an upstream that is not known here does: the flow is not placed elsewhere.
+    """
+    if item.pinned:
+        return not state.has_ended(item.upstream)
+    return state.is_usable(item.upstream)
+
+
 def decide_pending(state: FlowState, flow: FlowKey, now: float) -> list[FlowEffect]:
     """Pin a flow after the answers that have come."""
     pending = state.pending.pop(flow)
@@ -159,7 +191,8 @@
         return []
     best = pending.best
     upstream = best.upstream if best else pending.proposal
-    if not state.is_usable(upstream):
+    undecided = pending.adopt and not pending.best_pinned
+    if undecided or not state.is_usable(upstream):
         state.counters.add("flows_undecided", flow.service)
         return [Release(service=flow.service, key=flow.key, upstream=None)]
     released = Release(service=flow.service, key=flow.key, upstream=upstream)
@@ -169,7 +202,8 @@
         state.exchange.hear(flow)
         put_pin(state, flow, best._replace(used_at=now), now)
         return [released]
-    pin_flow(state, flow, upstream, now)
+    number = max(pending.number, best.number if best else 0)
+    put_pin(state, flow, Pin(upstream=upstream, used_at=now, number=number), now)
     return [released, *tell_exception(state, flow, upstream)]
 
 
@@ -220,8 +254,11 @@
         late = now - pending.since >= HOLD_SECONDS
         if waiting and not late:
             continue
-        if waiting:
+        if waiting and not pending.best_pinned:
             state.counters.add("flows_unanswered", flow.service)
+            del state.pending[flow]
+            effects.append(Release(service=flow.service, key=flow.key, upstream=None))
+            continue
         effects.extend(decide_pending(state, flow, now))
     return effects
 
@@ -232,16 +269,27 @@
     if table is None:
         return
     for item in items:
+        if state.has_ended(item.upstream):
+            continue
         flow = FlowKey(service=service, key=item.key)
         if flow in state.pending:
             _improve(state, flow, "", item._replace(pinned=True))
         pin = table.get(item.key)
+        if pin is not None and state.has_ended(pin.upstream):
+            table.remove(item.key)
+            state.exchange.forget(flow)
+            pin = None
         told = Pin(upstream=item.upstream, used_at=state.ticked_at, number=item.number)
         if pin is None:
             held = state.exceptions[service].get(item.key)
-            if held is None or held.number >= item.number:
+            ended = held is not None and state.has_ended(held.upstream)
+            if held is None or ended or held.number >= item.number:
                 state.exceptions[service].put(item.key, told)
-        elif pin.upstream != item.upstream and item.number < pin.number:
+        elif (
+            pin.upstream != item.upstream
+            and item.number < pin.number
+            and state.is_usable(item.upstream)
+        ):
             table.put(item.key, told._replace(used_at=pin.used_at))
             state.counters.add("flows_broken", "pins_differed")
 
@@ -252,7 +300,7 @@
         if now - confirmation.since >= CONFIRM_SECONDS:
             # A peer that did not answer may hold the flow: it is asked again later.
             del state.confirming[flow]
-    if state.confirming or not state.is_settled():
+    if state.confirming or not state.exceptions_known() or not state.is_settled():
         return []
     if not state.exception_sweep:
         state.exception_sweep = [
@@ -275,7 +323,10 @@
         state.confirming[flow] = Confirmation(waiting=frozenset(live), since=now)
         due[flow.service].append(PinItem(key=flow.key, upstream=pin.upstream))
     return [
-        _query(state, peer, service, tuple(items), confirm=True)
+        SendPeer(
+            peer=peer,
+            message=_query(state, service, tuple(items))._replace(confirm=True),
+        )
         for service, items in due.items()
         for peer in live
     ]
--- a/src/chervilstage/coordination/view.py
+++ b/src/chervilstage/coordination/view.py
@@ -101,7 +101,7 @@
 def must_move(weights: Weights, view: View) -> bool:
     """Tell whether a bucket points to an upstream that gets no new flows."""
     return any(
-        any(upstream not in upstreams for upstream in view.buckets(service))
+        not set(view.buckets(service)) <= upstreams.keys()
         for service, upstreams in weights.items()
         if upstreams
     )
--- a/src/chervilstage/coordination/view_change.py
+++ b/src/chervilstage/coordination/view_change.py
@@ -133,6 +133,7 @@
     state.view = state.prepared
     state.prepared = None
     state.exchange.activate()
+    state.differing_views = False
     ask_again(state)
     report = state.members.report
     state.members.report = report._replace(view_number=state.view.identity.number)
--- a/src/chervilstage/coordination/view_rounds.py
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -74,7 +74,7 @@
         state.round = None
         return []
     weights = view_weights(state)
-    urgent = must_move(weights, target_view(state))
+    urgent = must_move(weights, target_view(state)) or state.differing_views
     if state.round is None or (urgent and _is_superseded(state, weights)):
         _begin(state, weights, urgent)
     if state.round is None:
@@ -88,7 +88,8 @@
 
 
 def _is_superseded(state: FlowState, weights: Weights) -> bool:
-    return state.round is not None and must_move(weights, state.round.view)
+    view = target_view(state)
+    return state.differing_views or must_move(weights, view)
 
 
 def _begin(state: FlowState, weights: Weights, urgent: bool) -> None:
--- a/src/chervilstage/protocol/flow_messages.py
+++ b/src/chervilstage/protocol/flow_messages.py
@@ -10,6 +10,8 @@
 from ..state.flow_messages import (
     BucketMove,
     FlowMessage,
+    HeldPage,
+    HeldRequest,
     ListPage,
     ListRequest,
     PinAnswer,
@@ -36,6 +38,8 @@
     PinTold: Kind.PIN_TOLD,
     ListRequest: Kind.PIN_LIST_REQUEST,
     ListPage: Kind.PIN_LIST,
+    HeldRequest: Kind.PIN_HELD_REQUEST,
+    HeldPage: Kind.PIN_HELD,
 }
 
 
@@ -56,7 +60,7 @@
             return pack(built)
         case PinQuery():
             built = schema("flows").PinItems.new_message(
-                query=message.query, confirm=message.confirm
+                query=message.query, confirm=message.confirm, adopt=message.adopt
             )
             _write_items(built, message.service, message.items)
             return pack(built)
@@ -72,6 +76,15 @@
             return _encode_request(message)
         case ListPage():
             return _encode_page(message)
+        case HeldRequest():
+            built = schema("flows").HeldRequest.new_message(service=message.service)
+            built.ranges = to_ranges(message.buckets)
+            return pack(built)
+        case HeldPage():
+            built = schema("flows").HeldPage.new_message(service=message.service)
+            built.buckets = list(message.buckets)
+            built.digests = [list(digests) for digests in message.digests]
+            return pack(built)
 
 
 def decode_flow_message(kind: Kind, data: bytes) -> FlowMessage:
@@ -95,11 +108,20 @@
         return _decode_request(unpack(structs.ListRequest, data))
     if kind is Kind.PIN_LIST:
         return _decode_page(unpack(structs.ListPage, data))
+    if kind is Kind.PIN_HELD_REQUEST:
+        read = unpack(structs.HeldRequest, data)
+        return HeldRequest(service=read.service, buckets=from_ranges(read.ranges))
+    if kind is Kind.PIN_HELD:
+        return _decode_held(unpack(structs.HeldPage, data))
     read = unpack(structs.PinItems, data)
     items = _read_items(read)
     if kind is Kind.PIN_QUERY:
         return PinQuery(
-            query=read.query, service=read.service, items=items, confirm=read.confirm
+            query=read.query,
+            service=read.service,
+            items=items,
+            confirm=read.confirm,
+            adopt=read.adopt,
         )
     if kind is Kind.PIN_ANSWER:
         return PinAnswer(query=read.query, service=read.service, items=items)
@@ -284,3 +306,11 @@
         after=read.after,
         items=_read_items(read.items),
     )
+
+
+def _decode_held(read: Any) -> HeldPage:
+    buckets = tuple(read.buckets)
+    digests = tuple(tuple(found) for found in read.digests)
+    if len(buckets) != len(digests) or any(bucket >= BUCKETS for bucket in buckets):
+        raise EnvelopeFormatError(reason="buckets and digests do not match")
+    return HeldPage(service=read.service, buckets=buckets, digests=digests)
--- a/src/chervilstage/protocol/kinds.py
+++ b/src/chervilstage/protocol/kinds.py
@@ -19,6 +19,8 @@
     PIN_LIST = 25
     PIN_LIST_REQUEST = 26
     PIN_TOLD = 27
+    PIN_HELD_REQUEST = 28
+    PIN_HELD = 29
 
     UPSTREAM_RECORDS = 40
     UPSTREAM_DIGEST = 41
--- a/src/chervilstage/protocol/schema/flows.capnp
+++ b/src/chervilstage/protocol/schema/flows.capnp
@@ -55,6 +55,7 @@
   confirm @2 :Bool;
   upstreams @3 :List(Upstream);
   pins @4 :List(Pins);
+  adopt @5 :Bool;
 }
 
 struct ListRequest {
@@ -76,3 +77,15 @@
   after @5 :UInt64;
   items @6 :PinItems;
 }
+
+struct HeldRequest {
+  service @0 :Text;
+  ranges @1 :List(UInt16);
+}
+
+struct HeldPage {
+  service @0 :Text;
+  buckets @1 :List(UInt16);
+  # 24 bits of each fingerprint, a list for each bucket.
+  digests @2 :List(List(UInt32));
+}
--- a/src/chervilstage/state/flow_messages.py
+++ b/src/chervilstage/state/flow_messages.py
@@ -62,13 +62,15 @@
 class PinQuery(NamedTuple):
     """Asks for the pins of flows; the items carry the asker's own choice.
 
-    ``confirm`` asks only whether the flows are in use: nothing is chosen.
+    ``confirm`` asks only whether the flows are in use: nothing is chosen. ``adopt``
+    asks the peer to pin the flows, as the asker leaves.
     """
 
     query: int
     service: str
     items: tuple[PinItem, ...]
     confirm: bool = False
+    adopt: bool = False
 
 
 class PinAnswer(NamedTuple):
@@ -119,6 +121,21 @@
     items: tuple[PinItem, ...]
 
 
+class HeldRequest(NamedTuple):
+    """Asks which flows of some buckets the peer has pinned."""
+
+    service: str
+    buckets: tuple[int, ...]
+
+
+class HeldPage(NamedTuple):
+    """Answers with 24 bits of each fingerprint, by bucket."""
+
+    service: str
+    buckets: tuple[int, ...]
+    digests: tuple[tuple[int, ...], ...]
+
+
 FlowMessage = (
     ViewPrepare
     | ViewPrepared
@@ -128,4 +145,6 @@
     | PinTold
     | ListRequest
     | ListPage
+    | HeldRequest
+    | HeldPage
 )
--- a/src/chervilstage/state/flow_state.py
+++ b/src/chervilstage/state/flow_state.py
@@ -29,7 +29,8 @@
 
     ``number`` is that of the view under which ``proposal`` was chosen. ``waiting`` are
     the peers that have not answered; ``best`` is the best answer so far and who gave
-    it. Answers to queries up to ``older`` do not count.
+    it. Answers to queries up to ``older`` do not count. ``adopt`` is set where a peer
+    has to pin the flow because this entry leaves.
     """
 
     proposal: UpstreamId
@@ -38,6 +39,7 @@
     asked_at: float
     since: float
     older: int
+    adopt: bool = False
     best: Pin | None = None
     best_pinned: bool = False
     best_from: str = ""
@@ -127,6 +129,23 @@
             keys.discard(flow)
 
 
+class HandOver:
+    """What a leaving entry has still to hand over.
+
+    :param todo: the buckets by service that no peer has been asked about.
+    """
+
+    def __init__(self, *, todo: dict[str, set[int]]) -> None:
+        self.todo = todo
+        self.unacknowledged: dict[FlowKey, None] = {}
+        self.next_at: dict[str, float] = {}
+        self.pins_at = float("-inf")
+
+    def is_handed(self, service: str, bucket: int) -> bool:
+        """Tell whether a peer has taken over a bucket."""
+        return bucket not in self.todo.get(service, ())
+
+
 class FlowState:
     """All that the decisions about flows of one entry work on.
 
@@ -174,6 +193,7 @@
         self.finished = False
         self.handed_to: set[str] = set()
         self.leaving: set[str] = set()
+        self.hand_over: HandOver | None = None
         self.last_inputs: object = None
         self.queries = 0
         self.asked: dict[int, tuple[int, ...]] = {}
@@ -207,6 +227,18 @@
             and record.data_centre not in self.in_force.current.out
         )
 
+    def has_ended(self, upstream: UpstreamId) -> bool:
+        """Tell whether the flows of an upstream are known to have ended.
+
+        Its address has changed hands, or its data centre is out of service.
+        """
+        record = self.registry.records.get(upstream.address)
+        if record is None:
+            return False
+        if record.identity == upstream:
+            return record.data_centre in self.in_force.current.out
+        return record.identity.incarnation >= upstream.incarnation
+
     def peers_missing(self, service: str, bucket: int) -> list[str]:
         """Return the peers whose exceptions of a bucket are not known here."""
         return [
--- a/src/chervilstage/transport/flow_link.py
+++ b/src/chervilstage/transport/flow_link.py
@@ -12,11 +12,11 @@
 from ..coordination.flow_effects import FlowEffect, Release, SendPeer
 from ..coordination.flow_events import (
     TICK_SECONDS,
-    is_handed_over,
     run_flows,
     take_flow_message,
     take_member_event,
 )
+from ..coordination.hand_over import is_handed_over
 from ..coordination.membership import MemberEvent
 from ..protocol.flow_messages import KINDS, decode_flow_message, encode_flow_message
 from ..protocol.kinds import Kind
--- /dev/null
+++ b/testing/coordination/test_flows.py
@@ -0,0 +1,287 @@
+"""Flows over several entries while upstreams and entries come and go."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
+
+from chervilstage.state.types import UpstreamPhase
+from chervilstage.state.view import bucket_of
+from testing.support.flow_group import SERVICES, FlowGroup
+
+NAMES = ["e1", "e2", "e3", "e4"]
+FLOWS = 300
+MACHINE = settings(max_examples=25, stateful_step_count=20)
+
+
+def started_group(seed: int, loss: float = 0.0, upstreams: int = 4) -> FlowGroup:
+    """Return four settled entries before some upstreams of each service."""
+    group = FlowGroup(
+        names=NAMES, rng=Random(seed), loss=loss, delay=0.03, idle_seconds=60.0
+    )
+    for number, service in enumerate(SERVICES):
+        for port in range(upstreams):
+            group.add_upstream(service, number * 100 + port)
+    for name in NAMES:
+        group.start_entry(name)
+    assert group.settle(), "no view came in force"
+    return group
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Sends packets of many flows to any entry; subclasses add the changes."""
+
+    loss = 0.03
+
+    @initialize(seed=st.integers(0, 2**32 - 1))
+    def start(self, seed: int) -> None:
+        self.group = started_group(seed, loss=self.loss)
+        self.rng = Random(seed)
+        self.next_port = 1_000
+        self.send(200)
+
+    def send(self, count: int) -> None:
+        """Send packets at a steady rate."""
+        for number in range(count):
+            name = self.rng.choice(sorted(self.group.nodes))
+            service = self.rng.choice(SERVICES)
+            self.group.packet(name, service, self.rng.randrange(FLOWS))
+            if number % 10 == 9:
+                self.group.tick()
+
+    @rule(count=st.integers(10, 400))
+    def send_packets(self, count: int) -> None:
+        self.send(count)
+
+    @rule(flow=st.integers(FLOWS, 2**40), gap=st.integers(0, 3))
+    def retransmit_a_first_packet_at_two_entries(self, flow: int, gap: int) -> None:
+        entries = sorted(self.group.nodes)
+        self.group.packet(self.rng.choice(entries), SERVICES[0], flow)
+        self.group.run(gap * 0.02)
+        self.group.packet(self.rng.choice(sorted(self.group.nodes)), SERVICES[0], flow)
+
+    @rule(seconds=st.floats(0.1, 3.0))
+    def pass_time(self, seconds: float) -> None:
+        self.group.run(seconds)
+
+    @rule(service=st.sampled_from(SERVICES))
+    def upstream_joins(self, service: str) -> None:
+        self.next_port += 1
+        self.group.add_upstream(service, self.next_port)
+
+    @rule(place=st.integers(0, 1_000), service=st.sampled_from(SERVICES))
+    def upstream_leaves(self, place: int, service: str) -> None:
+        records = self.group.records.values()
+        ready = [
+            r.identity
+            for r in records
+            if r.identity.service == service and r.phase is UpstreamPhase.READY
+        ]
+        if len(ready) > 2:
+            leaving = ready[place % len(ready)]
+            self.group.add_upstream(
+                service, leaving.address.port, phase=UpstreamPhase.LEAVING
+            )
+
+    @rule(place=st.integers(0, 1_000))
+    def address_changes_hands(self, place: int) -> None:
+        records = self.group.records.values()
+        gone = [r.identity for r in records if r.phase is UpstreamPhase.LEAVING]
+        if gone:
+            old = gone[place % len(gone)]
+            service = SERVICES[old.service == SERVICES[0]]
+            self.group.add_upstream(
+                service, old.address.port, incarnation=old.incarnation + 1
+            )
+
+    @invariant()
+    def no_packet_reaches_another_service(self) -> None:
+        assert self.group.foreign == 0, self.group.foreign
+
+    @invariant()
+    def leaving_upstream_gets_no_new_flow(self) -> None:
+        assert not self.group.late_placements, self.group.late_placements
+
+
+class PlannedChanges(GroupMachine):
+    """Guards against flows that break while nothing fails."""
+
+    @precondition(lambda self: len(self.group.nodes) > 2)
+    @rule(place=st.integers(0, 3))
+    def entry_stops(self, place: int) -> None:
+        names = sorted(self.group.nodes)
+        self.group.stop_entry(names[place % len(names)])
+
+    @precondition(lambda self: len(self.group.nodes) < len(NAMES))
+    @rule()
+    def entry_joins(self) -> None:
+        absent = [name for name in NAMES if name not in self.group.nodes]
+        self.group.start_entry(absent[0])
+
+    @invariant()
+    def no_flow_is_broken(self) -> None:
+        assert not self.group.broken, self.group.broken
+
+    def teardown(self) -> None:
+        if hasattr(self, "group"):
+            self.send(200)
+            assert self.group.settle(120.0), "the group does not settle"
+            self.no_flow_is_broken()
+
+
+class EntryLosses(GroupMachine):
+    """Guards against losing flows that a surviving entry has pinned."""
+
+    loss = 0.0
+
+    def lose(self, name: str) -> None:
+        """Forget that an entry has seen flows."""
+        for seen in self.group.seen_by.values():
+            seen.discard(name)
+
+    @precondition(lambda self: len(self.group.nodes) == len(NAMES))
+    @rule(place=st.integers(0, 3), again=st.booleans())
+    def entry_dies(self, place: int, again: bool) -> None:
+        name = sorted(self.group.nodes)[place]
+        self.group.kill_entry(name)
+        self.lose(name)
+        if again:
+            self.send(50)
+            self.group.start_entry(name)
+            self.group.settle(30.0)
+            second = NAMES[(NAMES.index(name) + 1) % len(NAMES)]
+            self.group.kill_entry(second)
+            self.lose(second)
+
+    @precondition(lambda self: len(self.group.nodes) < len(NAMES))
+    @rule()
+    def entry_joins(self) -> None:
+        absent = [name for name in NAMES if name not in self.group.nodes]
+        self.group.start_entry(absent[0])
+        self.group.settle(30.0)
+
+    @precondition(lambda self: len(self.group.nodes) == len(NAMES))
+    @rule(place=st.integers(0, 3), seconds=st.floats(0.1, 4.0))
+    def entry_freezes(self, place: int, seconds: float) -> None:
+        name = NAMES[place]
+        self.group.nodes[name].frozen = True
+        self.lose(name)
+        self.group.run(seconds)
+        self.send(30)
+        self.group.thaw(name)
+
+    @invariant()
+    def only_flows_without_a_surviving_pin_are_broken(self) -> None:
+        wrongly = [f for f in self.group.broken if f not in self.group.orphans]
+        assert not wrongly, wrongly
+
+
+PlannedChanges.TestCase.settings = MACHINE
+EntryLosses.TestCase.settings = MACHINE
+PlannedChangesTests = PlannedChanges.TestCase
+EntryLossesTests = EntryLosses.TestCase
+
+
+class FlowCaseTests(TestCase):
+    """Single cases that the machines may miss."""
+
+    def test_idle_flow_of_a_lost_entry_stays_where_its_bucket_has_not_moved(
+        self,
+    ) -> None:
+        group = started_group(1)
+        for flow in range(100):
+            group.packet("e2", SERVICES[0], flow)
+        group.kill_entry("e2")
+        group.run(3.0)
+        for flow in range(100):
+            group.packet("e3", SERVICES[0], flow)
+        group.run(1.0)
+        self.assertThat(group.broken, Equals([]))
+        self.assertThat(group.first, HasLength(100))
+
+    def test_flows_of_a_moved_bucket_outlive_the_entry_that_told_of_them(self) -> None:
+        group = started_group(2)
+        for flow in range(400):
+            group.packet("e2", SERVICES[0], flow)
+        before = group.nodes["e1"].state.view
+        group.add_upstream(SERVICES[0], 50)
+        self.assertTrue(group.settle())
+        group.kill_entry("e2")
+        group.run(2.0)
+        after = group.nodes["e1"].state.view
+        moved = 0
+        for flow in range(400):
+            group.packet("e3", SERVICES[0], flow)
+        for service, key in group.first:
+            bucket = bucket_of(key)
+            moved += before.buckets(service)[bucket] != after.buckets(service)[bucket]
+        group.run(1.0)
+        self.assertThat(group.broken, Equals([]))
+        self.assertGreater(moved, 20)
+
+    def test_data_centre_out_ends_its_flows_at_once_on_every_entry(self) -> None:
+        group = started_group(3)
+        away = group.add_upstream(SERVICES[0], 60, data_centre="away")
+        self.assertTrue(group.settle())
+        for flow in range(400):
+            group.packet(NAMES[flow % 4], SERVICES[0], flow)
+        self.assertIn(away, group.first.values())
+        group.take_out("away")
+        for node in group.nodes.values():
+            pins = (
+                p for b in node.state.tables[SERVICES[0]].buckets for p in b.values()
+            )
+            self.assertNotIn(away, [pin.upstream for pin in pins])
+        group.placed.clear()
+        for flow in range(400, 800):
+            group.packet(NAMES[flow % 4], SERVICES[0], flow)
+            group.run(0.02)
+        self.assertThat(group.placed[away], Equals(0))
+
+    def test_partition_heals_into_one_view_and_keeps_known_flows(self) -> None:
+        group = started_group(4)
+        for flow in range(200):
+            for name in NAMES:
+                group.packet(name, SERVICES[0], flow)
+        group.network.cut({"e1", "e2"}, {"e3", "e4"})
+        group.run(2.0)
+        group.add_upstream(SERVICES[0], 70)
+        group.run(10.0)
+        self.assertNotEqual(
+            group.nodes["e1"].state.view.identity, group.nodes["e3"].state.view.identity
+        )
+        group.network.cuts.clear()
+        self.assertTrue(group.settle(120.0))
+        for flow in range(200):
+            for name in NAMES:
+                group.packet(name, SERVICES[0], flow)
+        group.run(1.0)
+        self.assertThat(group.broken, Equals([]))
+        self.assertThat(group.foreign, Equals(0))
+
+    def test_confirmed_exception_outlives_the_idle_time(self) -> None:
+        group = started_group(5)
+        group.packet("e2", SERVICES[0], 7)
+        (flow,) = group.first
+        upstream = group.first[flow]
+        group.add_upstream(
+            SERVICES[0], upstream.address.port, phase=UpstreamPhase.LEAVING
+        )
+        self.assertTrue(group.settle())
+        for _ in range(4):
+            group.run(40.0)
+            group.packet("e2", SERVICES[0], 7)
+        group.packet("e3", SERVICES[0], 7)
+        group.run(1.0)
+        self.assertThat(group.broken, Equals([]))
+        self.assertThat(group.seen_by[flow], Equals({"e2", "e3"}))
--- a/testing/support/flow_group.py
+++ b/testing/support/flow_group.py
@@ -9,12 +9,12 @@
 from chervilstage.coordination.flow_effects import Ask, FlowEffect, Forward, SendPeer
 from chervilstage.coordination.flow_events import (
     TICK_SECONDS,
-    is_handed_over,
     run_flows,
     take_flow_message,
     take_member_event,
 )
 from chervilstage.coordination.flows import end_flows_out, route_packet
+from chervilstage.coordination.hand_over import is_handed_over
 from chervilstage.coordination.membership import (
     expire_members,
     make_heartbeat,
@@ -58,7 +58,8 @@
     """Entries, their network, and what callers and upstreams see.
 
     ``first`` is the upstream that first got a packet of each flow. ``broken`` lists
-    the flows whose packets went elsewhere while it was there.
+    the flows whose packets went elsewhere while it was there; ``orphans`` are those of
+    them that no entry of ``seen_by`` had pinned any more.
 
     :param on_send: called with each message between entries.
     """
@@ -101,6 +102,7 @@
         self.used_at: dict[tuple[str, int], float] = {}
         self.seen_by: defaultdict[tuple[str, int], set[str]] = defaultdict(set)
         self.broken: list[tuple[str, int]] = []
+        self.orphans: set[tuple[str, int]] = set()
         self.foreign = 0
         self.placed: Counter[UpstreamId] = Counter()
         self.late_placements: list[UpstreamId] = []
@@ -208,6 +210,9 @@
         record = self.nodes[name].state.registry.records.get(upstream.address)
         if record is None or record.identity.service != service:
             self.foreign += 1
+        if self.records[upstream.address].identity != upstream:
+            # The entry has not yet heard that the address has changed hands.
+            return
         first = self.first.get(flow)
         if first is None or self.is_over(flow, first):
             self.first[flow] = upstream
@@ -218,6 +223,8 @@
                 self.late_placements.append(upstream)
         elif upstream != first:
             self.broken.append(flow)
+            if not self.seen_by[flow]:
+                self.orphans.add(flow)
             self.first[flow] = upstream
         self.used_at[flow] = self.clock.now
         self.seen_by[flow].add(name)
