Begin a new view when peers report a newer one

An entry with the lowest name that was frozen while another one coordinated stayed at its old view, and nobody settled.

--- a/src/chervilstage/coordination/view_rounds.py
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -73,9 +73,7 @@
     if not is_coordinator(state):
         state.round = None
         return []
-    if state.round is None and state.prepared is not None:
-        # The entry that coordinated the prepared view is gone; a new view takes the
-        # place of what some entries may have put in force.
+    if state.round is None and _is_behind(state):
         state.differing_views = True
     weights = view_weights(state)
     urgent = must_move(weights, target_view(state)) or state.differing_views
@@ -86,6 +84,16 @@
     return _go_on(state, now)
 
 
+def _is_behind(state: FlowState) -> bool:
+    """Tell whether other entries may have a view in force that is not this entry's.
+
+    Another coordinator prepared it and is gone, or made it while this entry was lost.
+    """
+    number = state.view.identity.number
+    newer = any(_reported_view(state, n) > number for n in state.members.live_names)
+    return newer or state.prepared is not None
+
+
 def target_view(state: FlowState) -> View:
     """Return the view that is in force or about to be."""
     return state.round.view if state.round else state.view
