Let an active round give way when another coordinator's view was prepared

entry-2 counted itself as coordinator while entry-1's first heartbeat with a view was on its way, and its prepared view stopped entry-1's round for good: 512 buckets stayed unsettled on all four entries (trial cell).

--- a/src/chervilstage/coordination/view_rounds.py
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -73,7 +73,7 @@
     if not is_coordinator(state):
         state.round = None
         return []
-    if state.round is None and _is_behind(state):
+    if (state.round is None or state.round.active) and _is_behind(state):
         state.differing_views = True
     weights = view_weights(state)
     urgent = must_move(weights, target_view(state)) or state.differing_views
