--- a/src/chervilstage/state/view.py
+++ b/src/chervilstage/state/view.py
@@ -44,6 +44,11 @@
         """Return the map of a service; a service that is unknown has no upstream."""
         return self.services.get(service, EMPTY_MAP)
 
+    def upstream_count(self) -> int:
+        """Return the number of upstreams that have buckets, over all services."""
+        found = {upstream for buckets in self.services.values() for upstream in buckets}
+        return len(found - {None})
+
 
 def service_seed(service: str) -> int:
     """Return the seed with which the flows of a service are hashed."""
--- a/src/chervilstage/transport/flow_link.py
+++ b/src/chervilstage/transport/flow_link.py
@@ -72,7 +72,12 @@
         view = self.state.view.identity
         if view != self.logged:
             self.logged = view
-            log_event("view_in_force", number=view.number, coordinator=view.coordinator)
+            log_event(
+                "view_in_force",
+                number=view.number,
+                coordinator=view.coordinator,
+                upstreams=self.state.view.upstream_count(),
+            )
 
     async def run(self) -> None:
         """Do what is due until cancelled."""
--- a/testing/programs/test_flows.py
+++ b/testing/programs/test_flows.py
@@ -82,9 +82,14 @@
     assert not broken, broken
 
 
-def views(started: Started) -> int:
-    """Return how many views an entry has put in force."""
-    return len(started.lines("view_in_force"))
+def wait_view(started: Started, upstreams: int) -> None:
+    """Wait until an entry's view has that many upstreams."""
+
+    def in_force() -> bool:
+        lines = started.lines("view_in_force")
+        return bool(lines) and lines[-1].endswith(f"upstreams={upstreams}")
+
+    wait_until(in_force, f"a view with {upstreams} upstreams on {started.name}")
 
 
 def test_flows_outlive_changes_of_upstreams_and_entries(
@@ -93,11 +98,11 @@
     """Guards against flows that break in any planned change or with a lost entry."""
     hosts = [entry.host for entry in cell.entries]
     first = cell.running["entry-1"]
-    before = views(first)
+    wait_view(first, 3)
     joined = cell.start_upstream(SERVICE, "gl-erie")
     for turn in range(3):
         spray(flows, hosts, turn)
-    wait_until(lambda: views(first) > before, "a view with the fourth upstream")
+    wait_view(first, 4)
     spray(flows, hosts, 4)
     assert_unbroken(flows)
 
@@ -106,9 +111,8 @@
     spray(flows, hosts[:3], 5)
     wait_until(stopped.ended, "the end of entry-4")
     assert "complete=True" in stopped.lines("pins_handed_over")[0]
-    before = views(first)
     joined.process.send_signal(signal.SIGTERM)
-    wait_until(lambda: views(first) > before, "a view without the fourth upstream")
+    wait_view(first, 3)
     spray(flows, hosts[:3], 6)
     assert_unbroken(flows)
 
@@ -117,7 +121,7 @@
     spray(flows, hosts[1:3], 7)
     again = cell.start_entry(cell.entries[3])
     cell.wait_started(again)
-    wait_until(lambda: views(again) > 0, "a view at the entry that joins")
+    wait_view(again, 3)
     spray(flows, [hosts[3]], 8)
     spray(flows, hosts[1:], 9)
     assert_unbroken(flows)
