--- /dev/null
+++ b/src/chervilstage/coordination/replica.py
@@ -0,0 +1,100 @@
+"""What a replica of the configuration log does on each event."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ..errors.configuration import ReplicaBusyError
+from ..state.replica import Command, Replica, Role, Stored
+from ..state.replica_messages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    ReplicaMessage,
+    VoteReply,
+    VoteRequest,
+)
+from .election import receive_vote_reply, receive_vote_request
+from .replica_effects import ReplicaEffect
+from .replica_terms import (
+    ELECTION_SECONDS,
+    ELECTION_SPREAD_SECONDS,
+    check_lease,
+)
+from .replication import (
+    advance_commit,
+    append_command,
+    broadcast,
+    receive_append,
+    receive_append_reply,
+    receive_snapshot,
+)
+
+KEPT_OUTCOMES = 10_000
+MAXIMUM_WAITING = 256
+
+
+def start_replica(stored: Stored, now: float, rng: Random) -> Replica:
+    """Return the replica of what its disk holds.
+
+    A replica that has just started counts as having heard of a leader, since it may
+    have done so right before it stopped; it votes for nobody until that lease is over.
+    """
+    spread = rng.random() * ELECTION_SPREAD_SECONDS
+    replica = Replica(
+        stored=stored,
+        now=now,
+        election_at=now + ELECTION_SECONDS + spread,
+        kept_outcomes=KEPT_OUTCOMES,
+    )
+    if replica.members.voters() == (replica.identity,):
+        replica.election_at = now
+    return replica
+
+
+def receive(
+    replica: Replica, message: ReplicaMessage, now: float, rng: Random
+) -> list[ReplicaEffect]:
+    """Take a message; one for an identity that this disk once had is dropped."""
+    if message.to != replica.identity:
+        return []
+    body = message.body
+    if isinstance(body, VoteRequest):
+        return receive_vote_request(replica, message, body, now, rng)
+    if isinstance(body, VoteReply):
+        return receive_vote_reply(replica, message, body, now, rng)
+    if isinstance(body, Append):
+        return receive_append(replica, message, body, now, rng)
+    if isinstance(body, AppendReply):
+        return receive_append_reply(replica, message, body, now, rng)
+    assert isinstance(body, InstallSnapshot)
+    return receive_snapshot(replica, message, body, now, rng)
+
+
+def propose(replica: Replica, command: Command, now: float) -> list[ReplicaEffect]:
+    """Append a command to the log.
+
+    :raises NotLeaderError: another replica leads.
+    :raises NoQuorumError: no majority answers.
+    :raises ReplicaBusyError: too many commands wait for a majority.
+    """
+    check_lease(replica, now)
+    waiting = replica.log.last_index - replica.commit
+    if waiting >= MAXIMUM_WAITING:
+        raise ReplicaBusyError(waiting=waiting)
+    return [append_command(replica, command), *broadcast(replica, now)]
+
+
+def persisted(
+    replica: Replica, index: int, now: float, rng: Random
+) -> list[ReplicaEffect]:
+    """Take note that the entries up to an index are durable here."""
+    replica.persisted = index
+    return advance_commit(replica, now, rng)
+
+
+def next_timer(replica: Replica) -> float:
+    """Return when this replica next has something to do of itself."""
+    if replica.role is Role.LEADER:
+        return replica.heartbeat_at
+    return replica.election_at
--- /dev/null
+++ b/src/chervilstage/coordination/replica_apply.py
@@ -0,0 +1,73 @@
+"""Application of committed entries, and snapshots of what they led to."""
+
+from __future__ import annotations
+
+from ..state.configuration import ChangeOutcome
+from ..state.replica import ChangeCommand, LogEntry, MembersCommand, Replica, Snapshot
+from .configuration import apply_change
+from .replica_effects import ReplicaEffect, Reply, SaveSnapshot
+
+SNAPSHOT_ENTRIES = 512
+KEPT_ENTRIES = 128
+
+
+def commit_to(replica: Replica, index: int) -> list[ReplicaEffect]:
+    """Commit entries up to an index and apply them."""
+    effects: list[ReplicaEffect] = []
+    replica.commit = max(replica.commit, index)
+    first = replica.applied_index
+    for entry in replica.log.after(first)[: replica.commit - first]:
+        outcome = _apply(replica, entry)
+        replica.applied_index = entry.position
+        if outcome is not None:
+            effects.append(Reply(outcome=outcome))
+    if replica.applied_index - replica.snapshot.position >= SNAPSHOT_ENTRIES:
+        effects.append(take_snapshot(replica))
+    return effects
+
+
+def take_snapshot(replica: Replica) -> SaveSnapshot:
+    """Replace the applied entries by a snapshot.
+
+    Some entries stay in memory, so that a replica that lags a little needs no
+    snapshot.
+    """
+    index = replica.applied_index
+    replica.snapshot = Snapshot(
+        position=index,
+        term=replica.log.term_at(index) or 0,
+        members=replica.log.members_at(index),
+        configuration=replica.applied.configuration,
+        outcomes=tuple(replica.applied.outcomes.values()),
+    )
+    replica.log.compact(index - KEPT_ENTRIES)
+    return SaveSnapshot(
+        snapshot=replica.snapshot, entries=tuple(replica.log.after(index))
+    )
+
+
+def _apply(replica: Replica, entry: LogEntry) -> ChangeOutcome | None:
+    command = entry.command
+    if isinstance(command, ChangeCommand):
+        return apply_change(replica.applied, command.change, command.at)
+    if isinstance(command, MembersCommand):
+        return _record_members(replica, entry.position, command)
+    return None
+
+
+def _record_members(
+    replica: Replica, index: int, command: MembersCommand
+) -> ChangeOutcome:
+    revision = replica.applied.configuration.revision
+    outcome = ChangeOutcome(
+        operation_id=command.operation_id or f"members-{index}",
+        operator=command.operator,
+        revision_before=revision,
+        revision_after=revision,
+        code="",
+        message="accepted",
+        at=command.at,
+        difference=command.difference,
+    )
+    replica.applied.remember(outcome)
+    return outcome
--- /dev/null
+++ b/src/chervilstage/coordination/replica_members.py
@@ -0,0 +1,177 @@
+"""The formation of a set of replicas and its changes, one at a time.
+
+A replica enters as a learner and becomes a voter when it holds the whole log. A
+replica whose disk is blank has another identity; its old one leaves the set in the
+same step in which the new one enters as a learner, so one step changes one voter.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+from ..errors.configuration import MembersChangeError
+from ..state.replica import MembersCommand, Replica, Snapshot, Vote
+from ..state.replica_log import ReplicaLog
+from ..state.replica_messages import Hello
+from ..state.replica_set import ReplicaMember, ReplicaSet
+from .replica import propose
+from .replica_effects import ReplicaEffect, SaveSnapshot, SaveVote
+from .replica_terms import lease_holds
+
+FIRST_TERM = 1
+FIRST_INDEX = 1
+SYSTEM_OPERATOR = "chervilstage"
+
+
+class MembersAction(StrEnum):
+    """What operators can do to the set of replicas."""
+
+    ADD = "add"
+    REMOVE = "remove"
+    REPLACE = "replace"
+
+
+class MembersRequest(NamedTuple):
+    """A change of the set of replicas; ``member`` is the new one, if there is one."""
+
+    operation_id: str
+    operator: str
+    action: MembersAction
+    name: str
+    member: ReplicaMember | None = None
+
+
+def may_form(own: Hello, listed: Iterable[str], answers: Iterable[Hello]) -> bool:
+    """Tell whether a blank replica may form the set of replicas.
+
+    Only the one with the lowest name may, and only if every listed replica has
+    answered that it has never belonged to a set. A single answer of one that has
+    proves that changes may have been accepted.
+
+    :param listed: the names of all replicas in the settings.
+    """
+    names = set(listed) | {own.name}
+    blank = {hello.name for hello in answers if not hello.formed} | {own.name}
+    return not own.formed and own.name == min(names) and blank == names
+
+
+def form(replica: Replica, hellos: Iterable[Hello]) -> list[ReplicaEffect]:
+    """Make a set of blank replicas the first one."""
+    members = ReplicaSet(
+        members=tuple(sorted(_member(hello, voter=True) for hello in hellos))
+    )
+    snapshot = Snapshot(position=FIRST_INDEX, term=FIRST_TERM, members=members)
+    replica.snapshot = snapshot
+    replica.log = ReplicaLog(index=FIRST_INDEX, term=FIRST_TERM, members=members)
+    replica.commit = replica.applied_index = replica.persisted = FIRST_INDEX
+    if members.voters() == (replica.identity,):
+        replica.election_at = float("-inf")
+    effects: list[ReplicaEffect] = [SaveSnapshot(snapshot=snapshot, entries=())]
+    if replica.term < FIRST_TERM:
+        replica.vote = Vote(term=FIRST_TERM)
+        effects.insert(0, SaveVote(vote=replica.vote))
+    return effects
+
+
+def rejoin(
+    replica: Replica, hello: Hello, now: float, at: float
+) -> list[ReplicaEffect]:
+    """Let a replica that has lost its disk back in as a learner.
+
+    :param at: seconds since the epoch.
+    """
+    known = replica.members.named(hello.name)
+    if known is None or known.identity == hello.identity or hello.formed:
+        return []
+    if not may_change_members(replica, now) or known.identity == replica.identity:
+        return []
+    text = f"replica {hello.name} has a blank disk and rejoins as a learner"
+    return _propose_set(
+        replica, replica.members.with_member(_member(hello)), text, now, at
+    )
+
+
+def promote_learner(replica: Replica, now: float, at: float) -> list[ReplicaEffect]:
+    """Give a vote to a learner that holds the whole log."""
+    if not may_change_members(replica, now):
+        return []
+    for member in replica.members.members:
+        progress = replica.progress.get(member.identity)
+        if member.voter or progress is None:
+            continue
+        if progress.matched == replica.log.last_index:
+            members = replica.members.with_member(member._replace(voter=True))
+            text = f"replica {member.name} has caught up and votes"
+            return _propose_set(replica, members, text, now, at)
+    return []
+
+
+def change_members(
+    replica: Replica, request: MembersRequest, now: float, at: float
+) -> list[ReplicaEffect]:
+    """Change the set of replicas for an operator.
+
+    :raises MembersChangeError: the change is not allowed now.
+    """
+    members = _changed(replica.members, request)
+    if not members.voters():
+        raise MembersChangeError(reason="no voter would remain")
+    if not may_change_members(replica, now):
+        raise MembersChangeError(reason="another change of replicas is under way")
+    command = MembersCommand(
+        members=members,
+        operation_id=request.operation_id,
+        operator=request.operator,
+        at=at,
+        difference=f"{request.action.value} replica {request.name}",
+    )
+    return propose(replica, command, now)
+
+
+def may_change_members(replica: Replica, now: float) -> bool:
+    """Tell whether the newest set of replicas is committed and this replica leads.
+
+    The lease also proves that an entry of the leader's own term is committed, without
+    which two changes of one voter each could add up to one without a common majority.
+    """
+    return lease_holds(replica, now) and replica.log.members_index <= replica.commit
+
+
+def _changed(members: ReplicaSet, request: MembersRequest) -> ReplicaSet:
+    known = members.named(request.name)
+    if request.action is MembersAction.ADD and known is not None:
+        raise MembersChangeError(reason=f"{request.name} is a replica already")
+    if request.action is not MembersAction.ADD and known is None:
+        raise MembersChangeError(reason=f"{request.name} is no replica")
+    if request.action is MembersAction.REMOVE:
+        return members.without(request.name)
+    if request.member is None:
+        raise MembersChangeError(reason="the new replica has not answered")
+    if members.find(request.member.identity) is not None:
+        raise MembersChangeError(reason="the new replica belongs to the set already")
+    return members.with_member(request.member._replace(voter=False))
+
+
+def _propose_set(
+    replica: Replica, members: ReplicaSet, text: str, now: float, at: float
+) -> list[ReplicaEffect]:
+    command = MembersCommand(
+        members=members,
+        operation_id="",
+        operator=SYSTEM_OPERATOR,
+        at=at,
+        difference=text,
+    )
+    return propose(replica, command, now)
+
+
+def _member(hello: Hello, voter: bool = False) -> ReplicaMember:
+    return ReplicaMember(
+        name=hello.name,
+        identity=hello.identity,
+        data_centre=hello.data_centre,
+        address=hello.address,
+        voter=voter,
+    )
--- a/src/chervilstage/errors/configuration.py
+++ b/src/chervilstage/errors/configuration.py
@@ -11,7 +11,7 @@
     code = "CS-CONFIG-001"
     template = (
         "change made from revision {base} but revision {current} is in force, "
-        "changed by {operator}"
+        "changed by {operator} at {at}: {difference}"
     )
 
 
@@ -33,5 +33,84 @@
     """No majority of control replicas answers."""
 
     code = "CS-CONFIG-004"
-    template = "no quorum: {reason}; entries go on with revision {revision}"
+    template = (
+        "no quorum: {reason}; entries go on with revision {revision}, and status, "
+        "members and stale reads of configuration and audit still answer"
+    )
+    retryable = True
+
+
+class NotLeaderError(ChervilstageError):
+    """A call needs the leader of the replicas."""
+
+    code = "CS-CONFIG-005"
+    template = "this replica does not lead; the leader is {leader}"
     retryable = True
+
+
+class ChangeUnsettledError(ChervilstageError):
+    """The outcome of a change did not become known in time."""
+
+    code = "CS-CONFIG-006"
+    template = (
+        "change {operation_id} was not confirmed within {seconds} s and may still be "
+        "accepted; send it again under the same operation id"
+    )
+    retryable = True
+
+
+class ReplicaBusyError(ChervilstageError):
+    """Too many changes wait for a majority."""
+
+    code = "CS-CONFIG-007"
+    template = "{waiting} changes wait for a majority of replicas"
+    retryable = True
+
+
+class MembersChangeError(ChervilstageError):
+    """A change of the set of replicas is not allowed now."""
+
+    code = "CS-CONFIG-008"
+    template = "change of replicas refused: {reason}"
+
+
+class CallUnknownError(ChervilstageError):
+    """Operators have no call of that method and path."""
+
+    code = "CS-CONFIG-009"
+    template = "no such call: {method} {path}"
+
+
+class QueryInvalidError(ChervilstageError):
+    """A parameter of an operator's call is malformed."""
+
+    code = "CS-CONFIG-010"
+    template = "parameter {name}: {reason}"
+
+
+class ChangeSizeError(ChervilstageError):
+    """A change is longer than the limit."""
+
+    code = "CS-CONFIG-011"
+    template = "change of {size} bytes exceeds the limit of {limit} bytes"
+
+
+class OperationReusedError(ChervilstageError):
+    """An operation id names a change of another operator or of another kind."""
+
+    code = "CS-CONFIG-012"
+    template = "operation id {operation_id} was used before by {operator}"
+
+
+class LogWriteError(ChervilstageError):
+    """The log cannot be written or synced; the replica stops."""
+
+    code = "CS-CONFIG-013"
+    template = "{folder}: {reason}"
+
+
+class TlsFileError(ChervilstageError):
+    """The certificate or the key for TLS cannot be loaded."""
+
+    code = "CS-CONFIG-014"
+    template = "{file}: {reason}"
--- a/src/chervilstage/programs/control.py
+++ b/src/chervilstage/programs/control.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import typer
 
@@ -12,6 +12,11 @@
 from ..transport.control_daemon import build_control
 from .running import EXIT_SETTINGS, exit_with, run_daemon
 
+TLS_FILES: tuple[Literal["tls_certificate_file", "tls_key_file"], ...] = (
+    "tls_certificate_file",
+    "tls_key_file",
+)
+
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
@@ -27,6 +32,9 @@
         loaded = read_control_settings(settings)
         key = read_key(settings, loaded["key_file"])
         operator_key = read_key(settings, loaded["operator_key_file"])
+        for name in TLS_FILES:
+            if name in loaded:
+                loaded[name] = str(settings.parent / loaded[name])
     except ChervilstageError as error:
         exit_with(error, EXIT_SETTINGS)
     if check:
--- a/src/chervilstage/programs/running.py
+++ b/src/chervilstage/programs/running.py
@@ -28,6 +28,19 @@
         anyio.run(main)
     except ChervilstageError as error:
         exit_with(error, EXIT_ERROR)
+    except BaseExceptionGroup as group:
+        typed = first_typed_error(group)
+        if typed is None:
+            raise
+        exit_with(typed, EXIT_ERROR)
+
+
+def first_typed_error(group: BaseExceptionGroup) -> ChervilstageError | None:
+    """Return the first typed error of a failed task group, if there is one."""
+    found: BaseException | None = group.subgroup(ChervilstageError)
+    while isinstance(found, BaseExceptionGroup):
+        found = found.exceptions[0]
+    return found if isinstance(found, ChervilstageError) else None
 
 
 def exit_with(error: ChervilstageError, status: int) -> NoReturn:
--- a/src/chervilstage/protocol/changes.py
+++ b/src/chervilstage/protocol/changes.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import json
-from typing import Annotated, NotRequired
+from collections.abc import Iterable
+from typing import Annotated, Any, NotRequired
 
-from pydantic import ConfigDict, StringConstraints, TypeAdapter, with_config
+from pydantic import ConfigDict, Field, StringConstraints, TypeAdapter, with_config
 from typing_extensions import TypedDict
 
 from ..state.configuration import Change, ChangeOutcome
@@ -34,11 +35,11 @@
     base_revision: int
     inventory: NotRequired[InventoryDocument]
     rules: NotRequired[RulesDocument]
-    out: NotRequired[list[Name]]
+    out: NotRequired[Annotated[list[Name], Field(max_length=1000)]]
 
 
 class OutcomeDocument(TypedDict):
-    """The outcome of a change."""
+    """The outcome of a change; ``at`` is in seconds since the epoch."""
 
     operation_id: str
     operator: str
@@ -46,10 +47,14 @@
     revision_after: int
     code: str
     message: str
+    at: float
+    difference: str
+    data_centres: list[str]
 
 
 CHANGE = TypeAdapter(ChangeDocument)
 OUTCOME = TypeAdapter(OutcomeDocument)
+OUTCOMES = TypeAdapter(list[OutcomeDocument])
 
 
 def encode_change(change: Change) -> bytes:
@@ -81,8 +86,8 @@
         operation_id=document["operation_id"],
         operator=document["operator"],
         base_revision=document["base_revision"],
-        inventory=parse_inventory(inventory, "change") if inventory else None,
-        rules=parse_rules(rules, "change")[0] if rules else None,
+        inventory=None if inventory is None else parse_inventory(inventory, "change"),
+        rules=None if rules is None else parse_rules(rules, "change")[0],
         out=None if out is None else frozenset(out),
     )
 
@@ -97,4 +102,24 @@
 
     :raises DocumentError: the bytes are no outcome.
     """
-    return ChangeOutcome(**validate_json(OUTCOME, data, "outcome"))
+    return _outcome(validate_json(OUTCOME, data, "outcome"))
+
+
+def encode_outcomes(outcomes: Iterable[ChangeOutcome]) -> bytes:
+    """Return the JSON encoding of entries of the audit trail."""
+    return json.dumps([outcome._asdict() for outcome in outcomes]).encode()
+
+
+def decode_outcomes(data: bytes) -> list[ChangeOutcome]:
+    """Decode entries of the audit trail.
+
+    :raises DocumentError: the bytes are no list of outcomes.
+    """
+    documents = validate_json(OUTCOMES, data, "audit trail")
+    return [_outcome(document) for document in documents]
+
+
+def _outcome(document: OutcomeDocument) -> ChangeOutcome:
+    fields: dict[str, Any] = {**document}
+    fields["data_centres"] = tuple(document["data_centres"])
+    return ChangeOutcome(**fields)
--- a/src/chervilstage/protocol/kinds.py
+++ b/src/chervilstage/protocol/kinds.py
@@ -32,6 +32,8 @@
     VOTE = 80
     APPEND = 81
     SNAPSHOT = 82
+    REPLICA_HELLO = 83
+    OPERATOR_CALL = 84
 
     CONFIGURATION_FETCH = 100
     STATUS = 101
--- /dev/null
+++ b/src/chervilstage/protocol/log_files.py
@@ -0,0 +1,147 @@
+"""The format of the files of the log.
+
+Each record is its length and the CRC-32 of its content, both as 32-bit big-endian
+numbers, followed by the content.
+"""
+
+from __future__ import annotations
+
+import zlib
+from struct import Struct
+from typing import NamedTuple
+
+from ..errors import ChervilstageError
+from ..errors.configuration import LogDamagedError
+from ..state.replica import LogEntry, Snapshot, Vote
+from .log_records import decode_entry, decode_snapshot, encode_entry, encode_snapshot
+from .schemas import pack, schema, unpack
+
+RECORD_HEADER = Struct(">II")
+
+
+class Meta(NamedTuple):
+    """What names the files in use and how much of the log is known to be synced."""
+
+    identity: int
+    vote: Vote
+    log_number: int
+    snapshot_number: int
+    synced_bytes: int
+
+
+class Records(NamedTuple):
+    """The entries of a log file, and the offset of the end of each."""
+
+    entries: tuple[LogEntry, ...]
+    ends: tuple[int, ...]
+
+
+def encode_record(content: bytes) -> bytes:
+    """Return a record with its header."""
+    return RECORD_HEADER.pack(len(content), zlib.crc32(content)) + content
+
+
+def encode_log_entry(entry: LogEntry) -> bytes:
+    """Return the record of a log entry."""
+    return encode_record(encode_entry(entry))
+
+
+def read_records(data: bytes, synced_bytes: int, file: str) -> Records:
+    """Read a log file up to its torn tail.
+
+    What was never reported as synced may be torn, since nothing of it has been
+    acknowledged. Anything else that cannot be read is damage.
+
+    :raises LogDamagedError: a synced record is damaged or missing.
+    """
+    entries: list[LogEntry] = []
+    ends: list[int] = []
+    offset = 0
+    while offset < len(data):
+        try:
+            content = _content(data, offset, file)
+            entry = decode_entry(content)
+            _check_order(entries, entry, offset, file)
+        except ChervilstageError as error:
+            if offset >= synced_bytes:
+                break
+            raise _damage(file, offset, str(error)) from error
+        entries.append(entry)
+        offset += RECORD_HEADER.size + len(content)
+        ends.append(offset)
+    if offset < synced_bytes:
+        raise _damage(file, offset, "synced records are missing")
+    return Records(entries=tuple(entries), ends=tuple(ends))
+
+
+def encode_meta(meta: Meta) -> bytes:
+    """Return the content of the file that names the others."""
+    message = schema("consensus").ReplicaMeta.new_message(
+        identity=meta.identity,
+        term=meta.vote.term,
+        candidate=meta.vote.candidate,
+        logNumber=meta.log_number,
+        snapshotNumber=meta.snapshot_number,
+        syncedBytes=meta.synced_bytes,
+    )
+    return encode_record(pack(message))
+
+
+def read_meta(data: bytes, file: str) -> Meta:
+    """Read the file that names the others.
+
+    :raises LogDamagedError: the file is damaged.
+    """
+    content = _whole(data, file)
+    message = unpack(schema("consensus").ReplicaMeta, content)
+    return Meta(
+        identity=message.identity,
+        vote=Vote(term=message.term, candidate=message.candidate),
+        log_number=message.logNumber,
+        snapshot_number=message.snapshotNumber,
+        synced_bytes=message.syncedBytes,
+    )
+
+
+def encode_snapshot_file(snapshot: Snapshot) -> bytes:
+    """Return the content of a snapshot file."""
+    return encode_record(encode_snapshot(snapshot))
+
+
+def read_snapshot_file(data: bytes, file: str) -> Snapshot:
+    """Read a snapshot file.
+
+    :raises LogDamagedError: the file is damaged.
+    """
+    return decode_snapshot(_whole(data, file))
+
+
+def _whole(data: bytes, file: str) -> bytes:
+    content = _content(data, 0, file)
+    if RECORD_HEADER.size + len(content) != len(data):
+        raise _damage(file, len(data), "bytes after the record")
+    return content
+
+
+def _content(data: bytes, offset: int, file: str) -> bytes:
+    start = offset + RECORD_HEADER.size
+    if start > len(data):
+        raise _damage(file, offset, "header cut short")
+    length, checksum = RECORD_HEADER.unpack_from(data, offset)
+    content = data[start : start + length]
+    if not content or len(content) < length:
+        raise _damage(file, offset, "content cut short")
+    if zlib.crc32(content) != checksum:
+        raise _damage(file, offset, "checksum differs")
+    return content
+
+
+def _check_order(
+    entries: list[LogEntry], entry: LogEntry, offset: int, file: str
+) -> None:
+    if entries and entry.position != entries[-1].position + 1:
+        raise _damage(file, offset, f"entry {entry.position} is out of order")
+
+
+def _damage(file: str, offset: int, reason: str) -> LogDamagedError:
+    return LogDamagedError(file=file, offset=offset, reason=reason)
--- /dev/null
+++ b/src/chervilstage/protocol/log_records.py
@@ -0,0 +1,144 @@
+"""Encoding of log entries and snapshots, as sent and as stored."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Sequence
+from typing import Any
+
+from ..state.replica import ChangeCommand, LogEntry, MembersCommand, Snapshot
+from ..state.replica_set import ReplicaMember, ReplicaSet
+from ..state.types import Address
+from .changes import decode_change, decode_outcomes, encode_change, encode_outcomes
+from .documents import decode_configuration, encode_configuration
+from .schemas import pack, schema, unpack
+
+COMPRESSION_LEVEL = 1
+
+
+def encode_entry(entry: LogEntry) -> bytes:
+    """Return the encoding of a log entry."""
+    return pack(schema("consensus").LogRecord.new_message(**entry_fields(entry)))
+
+
+def decode_entry(data: bytes) -> LogEntry:
+    """Decode a log entry.
+
+    :raises EnvelopeFormatError: the bytes are no log entry.
+    """
+    return read_entry(unpack(schema("consensus").LogRecord, data))
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the encoding of a snapshot."""
+    fields = snapshot_fields(snapshot)
+    return pack(schema("consensus").SnapshotRecord.new_message(**fields))
+
+
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Decode a snapshot.
+
+    :raises EnvelopeFormatError: the bytes are no snapshot.
+    """
+    return read_snapshot(unpack(schema("consensus").SnapshotRecord, data))
+
+
+def entry_fields(entry: LogEntry) -> dict[str, Any]:
+    """Return the fields of a log entry in its message."""
+    fields: dict[str, Any] = {"position": entry.position, "term": entry.term}
+    command = entry.command
+    if isinstance(command, ChangeCommand):
+        document = encode_change(command.change)
+        fields["change"] = {"document": document, "at": command.at}
+    elif isinstance(command, MembersCommand):
+        fields["members"] = {
+            "members": member_fields(command.members),
+            "operationId": command.operation_id,
+            "operator": command.operator,
+            "at": command.at,
+            "difference": command.difference,
+        }
+    else:
+        fields["none"] = None
+    return fields
+
+
+def read_entry(message: Any) -> LogEntry:
+    """Return the log entry of a message."""
+    position, term = message.position, message.term
+    kind = message.which()
+    if kind == "change":
+        record = message.change
+        change = decode_change(bytes(record.document))
+        command = ChangeCommand(change=change, at=record.at)
+        return LogEntry(position=position, term=term, command=command)
+    if kind == "members":
+        record = message.members
+        members = MembersCommand(
+            members=read_members(record.members),
+            operation_id=record.operationId,
+            operator=record.operator,
+            at=record.at,
+            difference=record.difference,
+        )
+        return LogEntry(position=position, term=term, command=members)
+    return LogEntry(position=position, term=term, command=None)
+
+
+def snapshot_fields(snapshot: Snapshot) -> dict[str, Any]:
+    """Return the fields of a snapshot in its message."""
+    document = {
+        "configuration": encode_configuration(snapshot.configuration).decode(),
+        "outcomes": encode_outcomes(snapshot.outcomes).decode(),
+    }
+    packed = zlib.compress(json.dumps(document).encode(), COMPRESSION_LEVEL)
+    return {
+        "position": snapshot.position,
+        "term": snapshot.term,
+        "members": member_fields(snapshot.members),
+        "document": packed,
+    }
+
+
+def read_snapshot(message: Any) -> Snapshot:
+    """Return the snapshot of a message."""
+    document = json.loads(zlib.decompress(bytes(message.document)))
+    return Snapshot(
+        position=message.position,
+        term=message.term,
+        members=read_members(message.members),
+        configuration=decode_configuration(document["configuration"].encode()),
+        outcomes=tuple(decode_outcomes(document["outcomes"].encode())),
+    )
+
+
+def member_fields(members: ReplicaSet) -> list[dict[str, Any]]:
+    """Return the fields of a set of replicas in its message."""
+    return [
+        {
+            "name": member.name,
+            "identity": member.identity,
+            "dataCentre": member.data_centre,
+            "host": member.address.host,
+            "port": member.address.port,
+            "voter": member.voter,
+        }
+        for member in members.members
+    ]
+
+
+def read_members(messages: Sequence[Any]) -> ReplicaSet:
+    """Return the set of replicas of a message."""
+    return ReplicaSet(
+        members=tuple(
+            ReplicaMember(
+                name=message.name,
+                identity=message.identity,
+                data_centre=message.dataCentre,
+                address=Address(host=message.host, port=message.port),
+                voter=message.voter,
+            )
+            for message in messages
+        )
+    )
--- a/src/chervilstage/state/configuration.py
+++ b/src/chervilstage/state/configuration.py
@@ -103,9 +103,11 @@
 
 
 class ChangeOutcome(NamedTuple):
-    """What became of a change; kept so that a resend gets the same result.
+    """What became of a change: an entry of the audit trail.
 
-    ``code`` is empty where the change was accepted.
+    ``code`` is empty where the change was accepted. ``at`` is when the leader took
+    the change, in seconds since the epoch. ``difference`` says in words what the
+    change did, or would have done; ``data_centres`` names those it concerns.
     """
 
     operation_id: str
@@ -114,6 +116,9 @@
     revision_after: int
     code: str
     message: str
+    at: float = 0.0
+    difference: str = ""
+    data_centres: tuple[str, ...] = ()
 
 
 def idempotent_by_rules(rules: ServiceRules, method: str, path: str) -> bool:
--- /dev/null
+++ b/src/chervilstage/state/replica.py
@@ -0,0 +1,153 @@
+"""What a replica of the configuration log holds."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+from .applied import AppliedState
+from .configuration import Change, ChangeOutcome, Configuration
+from .replica_log import ReplicaLog
+from .replica_set import ReplicaSet
+
+
+class Role(StrEnum):
+    """The part that a replica plays in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Vote(NamedTuple):
+    """The term of a replica and whom it voted for in that term, 0 for nobody."""
+
+    term: int = 0
+    candidate: int = 0
+
+
+class ChangeCommand(NamedTuple):
+    """A change that an operator asked for; ``at`` is in seconds since the epoch."""
+
+    change: Change
+    at: float
+
+
+class MembersCommand(NamedTuple):
+    """A change of the set of replicas; ``at`` is in seconds since the epoch.
+
+    The operation id is empty where a replica asked for the change itself.
+    """
+
+    members: ReplicaSet
+    operation_id: str
+    operator: str
+    at: float
+    difference: str
+
+
+Command = ChangeCommand | MembersCommand | None
+
+
+class LogEntry(NamedTuple):
+    """One entry of the log; the first of a leader's term has no command."""
+
+    position: int
+    term: int
+    command: Command
+
+
+class Snapshot(NamedTuple):
+    """All that the entries up to an index have led to."""
+
+    position: int = 0
+    term: int = 0
+    members: ReplicaSet = ReplicaSet()
+    configuration: Configuration = Configuration()
+    outcomes: tuple[ChangeOutcome, ...] = ()
+
+
+class Stored(NamedTuple):
+    """What a replica finds on its disk at start."""
+
+    identity: int
+    vote: Vote
+    snapshot: Snapshot
+    entries: tuple[LogEntry, ...]
+
+
+class Progress(NamedTuple):
+    """What a leader knows of another replica.
+
+    ``matched`` is the highest entry known to be durable there, ``following`` the next
+    one to send. ``acked_at`` is when this leader sent the newest message that the
+    replica has answered.
+    """
+
+    following: int
+    matched: int = 0
+    acked_at: float = float("-inf")
+
+
+class Replica:
+    """A replica of the log; times are in seconds of its own clock.
+
+    ``heard_at`` is when it last heard of a leader, ``election_at`` when it seeks to
+    lead, ``heartbeat_at`` when it next sends as the leader and ``led_from`` when it
+    became the leader. ``persisted`` is the highest entry that is durable here.
+    """
+
+    def __init__(
+        self, *, stored: Stored, now: float, election_at: float, kept_outcomes: int
+    ) -> None:
+        snapshot = stored.snapshot
+        self.identity = stored.identity
+        self.vote = stored.vote
+        self.snapshot = snapshot
+        self.log = ReplicaLog(
+            index=snapshot.position,
+            term=snapshot.term,
+            members=snapshot.members,
+            entries=stored.entries,
+        )
+        self.applied = AppliedState(
+            configuration=snapshot.configuration,
+            outcomes=snapshot.outcomes,
+            kept=kept_outcomes,
+        )
+        self.role = Role.FOLLOWER
+        self.leader = 0
+        self.votes: set[int] = set()
+        self.commit = snapshot.position
+        self.applied_index = snapshot.position
+        self.persisted = self.log.last_index
+        self.heard_at = now
+        self.election_at = election_at
+        self.heartbeat_at = now
+        self.led_from = now
+        self.progress: dict[int, Progress] = {}
+
+    @property
+    def term(self) -> int:
+        """Return the term."""
+        return self.vote.term
+
+    @property
+    def members(self) -> ReplicaSet:
+        """Return the newest set of replicas in the log, committed or not."""
+        return self.log.members
+
+    def is_formed(self) -> bool:
+        """Tell whether this replica belongs, or did belong, to a set of replicas."""
+        return self.log.last_index > 0
+
+    def is_voter(self) -> bool:
+        """Tell whether this replica counts in elections."""
+        return self.identity in self.members.voters()
+
+    def has_quorum(self, identities: Iterable[int]) -> bool:
+        """Tell whether these replicas hold a majority of the voters."""
+        voters = set(self.members.voters())
+        return 2 * len(voters.intersection(identities)) > len(voters)
--- /dev/null
+++ b/src/chervilstage/state/replica_messages.py
@@ -0,0 +1,82 @@
+"""The messages between the replicas of the configuration log."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .replica import LogEntry, Snapshot
+from .types import Address
+
+
+class VoteRequest(NamedTuple):
+    """A request for a vote; a trial one changes nothing at the receiver."""
+
+    term: int
+    last_index: int
+    last_term: int
+    trial: bool
+
+
+class VoteReply(NamedTuple):
+    """The answer; ``term`` is the one asked for where the vote was granted."""
+
+    term: int
+    granted: bool
+    trial: bool
+
+
+class Append(NamedTuple):
+    """Entries after ``previous_index``, or none for a heartbeat."""
+
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: tuple[LogEntry, ...]
+    commit: int
+    sent_at: float
+
+
+class InstallSnapshot(NamedTuple):
+    """A snapshot for a replica that needs entries which the leader has dropped."""
+
+    term: int
+    snapshot: Snapshot
+    sent_at: float
+
+
+class AppendReply(NamedTuple):
+    """The answer to ``Append`` and ``InstallSnapshot``; echoes ``sent_at``.
+
+    ``matched`` is the last entry known to agree where ``success`` is true, otherwise
+    an entry up to which it may agree.
+    """
+
+    term: int
+    success: bool
+    matched: int
+    sent_at: float
+
+
+Body = VoteRequest | VoteReply | Append | InstallSnapshot | AppendReply
+
+
+class ReplicaMessage(NamedTuple):
+    """A message from one identity to another; ``origin`` is where to answer."""
+
+    sender: int
+    to: int
+    origin: Address
+    body: Body
+
+
+class Hello(NamedTuple):
+    """What a replica says of itself before it belongs to a set of replicas.
+
+    ``formed`` tells whether it has ever belonged to one.
+    """
+
+    name: str
+    identity: int
+    data_centre: str
+    address: Address
+    formed: bool
--- /dev/null
+++ b/src/chervilstage/state/replica_set.py
@@ -0,0 +1,47 @@
+"""The set of replicas that keep the configuration log."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .types import Address
+
+
+class ReplicaMember(NamedTuple):
+    """A replica; its identity is that of the disk, so that a blank one gets another.
+
+    A replica that is no voter receives the log and counts in no majority.
+    """
+
+    name: str
+    identity: int
+    data_centre: str
+    address: Address
+    voter: bool = True
+
+
+class ReplicaSet(NamedTuple):
+    """The replicas, voters and learners."""
+
+    members: tuple[ReplicaMember, ...] = ()
+
+    def voters(self) -> tuple[int, ...]:
+        """Return the identities that count in majorities."""
+        return tuple(m.identity for m in self.members if m.voter)
+
+    def find(self, identity: int) -> ReplicaMember | None:
+        """Return the replica of an identity, if it belongs to the set."""
+        return next((m for m in self.members if m.identity == identity), None)
+
+    def named(self, name: str) -> ReplicaMember | None:
+        """Return the replica of a name, if it belongs to the set."""
+        return next((m for m in self.members if m.name == name), None)
+
+    def without(self, name: str) -> ReplicaSet:
+        """Return the set without the replica of a name."""
+        return ReplicaSet(members=tuple(m for m in self.members if m.name != name))
+
+    def with_member(self, member: ReplicaMember) -> ReplicaSet:
+        """Return the set with a replica in place of one of the same name."""
+        others = self.without(member.name).members
+        return ReplicaSet(members=tuple(sorted((*others, member))))
--- a/src/chervilstage/transport/control_server.py
+++ b/src/chervilstage/transport/control_server.py
@@ -1,33 +1,61 @@
-"""The control daemon: accepts changes and tells the entries of them."""
+"""The control daemon's answers to entries and operators."""
 
 from __future__ import annotations
 
 from hmac import compare_digest
+from ssl import SSLContext
 
 import anyio
 from anyio.abc import TaskGroup
 
-from ..coordination.configuration import ConfigurationState, apply_change
 from ..errors import ChervilstageError
-from ..errors.access import OperatorKeyError
-from ..protocol.changes import decode_change, encode_outcome
+from ..errors.access import OperatorKeyError, PeerUnreachableError
+from ..errors.configuration import (
+    CallUnknownError,
+    ChangeUnsettledError,
+    NotLeaderError,
+)
+from ..protocol.control_messages import (
+    OperatorAnswer,
+    OperatorCall,
+    ProcessStatus,
+    decode_answer,
+    decode_call,
+    decode_query,
+    encode_answer,
+    encode_call,
+    encode_status,
+)
 from ..protocol.documents import encode_configuration
 from ..protocol.kinds import Kind
+from ..protocol.operator_documents import operation_id_of
+from ..state.replica import Replica, Role
 from ..state.types import Address
 from .application import Hooks
-from .change_log import ChangeLog
-from .configuration_client import POLL_SECONDS
-from .event_log import log_event
-from .frame_channel import FrameServer
+from .frame_channel import FrameClient, FrameServer
 from .http_connection import HttpRequest, HttpResponse
 from .http_server import error_response, start_http_server
+from .operator_calls import OperatorCalls
+from .replica_driver import CHANGE_SECONDS, replica_clock
+
+MAXIMUM_WAIT_SECONDS = 30.0
+JSON_HEADERS = {"content-type": "application/json"}
+STATUS_OK = 200
+STATUS_UNAUTHORIZED = 401
+STATUS_NOT_FOUND = 404
+STATUS_REFUSED = 422
+STATUS_UNAVAILABLE = 503
 
 
 class ControlServer:
-    """Holds the configuration and answers operators and entries.
+    """Answers entries by frames and operators by HTTP.
+
+    A replica that does not lead hands an operator's call to the leader once; the
+    leader answers such a call itself.
 
     :param operator_address: where operators connect.
     :param operator_key: the bearer key of operators.
+    :param tls: the certificate and key for operators' connections, if any.
     """
 
     def __init__(
@@ -35,67 +63,131 @@
         *,
         operator_address: Address,
         operator_key: bytes,
-        log: ChangeLog,
+        calls: OperatorCalls,
+        client: FrameClient,
         frames: FrameServer,
+        tls: SSLContext | None,
     ) -> None:
         self.operator_address = operator_address
         self.operator_key = operator_key
-        self.log = log
-        self.state = ConfigurationState()
-        self.changed = anyio.Event()
+        self.calls = calls
+        self.client = client
+        self.tls = tls
         frames.serve(Kind.CONFIGURATION_FETCH, self.fetch)
+        frames.serve(Kind.STATUS, self.status)
+        frames.serve(Kind.OPERATOR_CALL, self.relayed)
+
+    @property
+    def replica(self) -> Replica:
+        """Return the replica of this process."""
+        return self.calls.driver.replica
 
     async def fetch(self, sender: str, body: bytes) -> bytes:
-        """Answer with the configuration once it is newer than the known one."""
-        known = int.from_bytes(body, "big")
-        with anyio.move_on_after(POLL_SECONDS):
-            while self.state.configuration.revision <= known:
-                await self.changed.wait()
-        if self.state.configuration.revision <= known:
+        """Answer with the committed configuration once it is newer than the known."""
+        query = decode_query(body)
+        self.calls.entries.note(query.group, replica_clock())
+        with anyio.move_on_after(min(query.wait_seconds, MAXIMUM_WAIT_SECONDS)):
+            while self.replica.applied.configuration.revision <= query.revision:
+                await self.calls.driver.revision_changed.wait()
+        configuration = self.replica.applied.configuration
+        if configuration.revision <= query.revision:
             return b""
-        return encode_configuration(self.state.configuration)
+        return encode_configuration(configuration)
+
+    async def status(self, sender: str, body: bytes) -> bytes:
+        """Answer with the status of this replica."""
+        replica = self.replica
+        status = ProcessStatus(
+            revision=replica.applied.configuration.revision,
+            gauges={
+                "term": replica.term,
+                "commit": replica.commit,
+                "last": replica.log.last_index,
+                "leads": float(replica.role is Role.LEADER),
+            },
+            group=tuple(self.calls.entries.known(replica_clock())),
+        )
+        return encode_status(status)
+
+    async def relayed(self, sender: str, body: bytes) -> bytes:
+        """Answer an operator's call that another replica hands over."""
+        try:
+            answer = await self.calls.answer(decode_call(body))
+        except ChervilstageError as error:
+            return encode_answer(_refusal(error))
+        return encode_answer(OperatorAnswer(status=STATUS_OK, code="", body=answer))
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Answer an operator."""
         expected = b"Bearer " + self.operator_key
-        given = request.headers.get("authorization", "").encode()
+        given = request.headers.get("authorization", "").encode("latin-1")
         if not compare_digest(given, expected):
-            return error_response(401, OperatorKeyError())
+            return error_response(STATUS_UNAUTHORIZED, OperatorKeyError())
+        call = OperatorCall(
+            method=request.method, target=request.target, body=request.body
+        )
         try:
-            return self.answer_authorized(request)
+            body = await self.calls.answer(call)
+        except NotLeaderError as error:
+            return await self.relay(call, error)
         except ChervilstageError as error:
-            return error_response(422, error)
-
-    def answer_authorized(self, request: HttpRequest) -> HttpResponse:
-        """Answer an operator whose key is right."""
-        headers = {"content-type": "application/json"}
-        if (request.method, request.target) == ("GET", "/v1/configuration"):
-            body = encode_configuration(self.state.configuration)
-            return HttpResponse(status=200, headers=headers, body=body)
-        if (request.method, request.target) == ("POST", "/v1/changes"):
-            return HttpResponse(
-                status=200, headers=headers, body=self.change(request.body)
+            return error_response(_status_of(error), error)
+        return HttpResponse(status=STATUS_OK, headers=JSON_HEADERS, body=body)
+
+    async def relay(self, call: OperatorCall, error: NotLeaderError) -> HttpResponse:
+        """Hand a call to the leader."""
+        leader = self.replica.members.find(self.replica.leader)
+        if leader is None:
+            return error_response(STATUS_UNAVAILABLE, error)
+        try:
+            answer = await self.client.call(
+                leader.address,
+                Kind.OPERATOR_CALL,
+                encode_call(call),
+                CHANGE_SECONDS + 1.0,
             )
-        return HttpResponse(status=404, headers={}, body=b"")
-
-    def change(self, body: bytes) -> bytes:
-        """Log and apply a change and return its encoded outcome."""
-        change = decode_change(body)
-        state, outcome = apply_change(self.state, change)
-        if state is not self.state:
-            self.log.append(change)
-            self.state = state
-            self.changed.set()
-            self.changed = anyio.Event()
-        log_event("change_decided", **outcome._asdict())
-        return encode_outcome(outcome)
+        except PeerUnreachableError:
+            return error_response(STATUS_UNAVAILABLE, _relay_error(call, error))
+        return _response(decode_answer(answer))
 
     async def start(self, group: TaskGroup) -> None:
-        """Replay the log and begin to listen."""
-        for change in self.log.read():
-            self.state, _ = apply_change(self.state, change)
-        await start_http_server(group, self.operator_address, self.answer)
+        """Begin to listen for operators."""
+        await start_http_server(group, self.operator_address, self.answer, self.tls)
 
     def hooks(self) -> Hooks:
         """Return the life-cycle hooks."""
         return Hooks(name="control_server", start=self.start)
+
+
+def _status_of(error: ChervilstageError) -> int:
+    if isinstance(error, CallUnknownError):
+        return STATUS_NOT_FOUND
+    return STATUS_UNAVAILABLE if error.retryable else STATUS_REFUSED
+
+
+def _refusal(error: ChervilstageError) -> OperatorAnswer:
+    text = f"{error.code} {error}\n".encode()
+    return OperatorAnswer(status=_status_of(error), code=error.code, body=text)
+
+
+def _relay_error(call: OperatorCall, error: NotLeaderError) -> ChervilstageError:
+    """Return the error of a call to the leader that got no answer.
+
+    A change may have been accepted; a read can simply be repeated.
+    """
+    if call.method == "GET":
+        return error
+    operation = operation_id_of(call.body)
+    return ChangeUnsettledError(operation_id=operation, seconds=CHANGE_SECONDS)
+
+
+def _response(answer: OperatorAnswer) -> HttpResponse:
+    if not answer.code:
+        return HttpResponse(
+            status=answer.status, headers=JSON_HEADERS, body=answer.body
+        )
+    headers = {
+        "content-type": "text/plain; charset=utf-8",
+        "chervilstage-code": answer.code,
+    }
+    return HttpResponse(status=answer.status, headers=headers, body=answer.body)
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -9,10 +9,11 @@
 from ..state.in_force import ConfigurationInForce
 from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry
-from ..state.types import Address
+from ..state.types import Address, Peer
 from .application import DEFAULT_DRAIN_SECONDS, Application
 from .capacity import UpstreamCapacity
 from .configuration_client import ConfigurationClient
+from .entry_status import phase_gauges, serve_entry_status
 from .frame_channel import FrameClient, FrameServer
 from .front_ends import FrontEnds
 from .membership import LEASE_SECONDS, Membership
@@ -69,12 +70,17 @@
         members.report = members.report._replace(revision=revision)
         front_ends.reconcile()
 
+    own = Peer(name=name, data_centre=settings["data_centre"], address=peer_address)
     client = ConfigurationClient(
+        own=own,
         replicas=peers_of(settings.get("replicas", [])),
         frames=frames,
+        frame_server=frame_server,
+        members=members,
         in_force=in_force,
         on_change=on_configuration,
     )
+    membership.listeners.append(client.notice)
 
     def gauges() -> dict[str, float]:
         return {
@@ -82,8 +88,11 @@
             "revision_in_force": in_force.current.revision,
             "upstreams_registered": len(registry.records),
             "members_live": len(members.live()),
+            **phase_gauges(registry),
         }
 
+    serve_entry_status(frame_server, in_force, gauges, client.group)
+
     app = Application(
         name=name, drain_seconds=settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
     )
--- a/src/chervilstage/transport/http_server.py
+++ b/src/chervilstage/transport/http_server.py
@@ -5,10 +5,13 @@
 import logging
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from ssl import SSLContext
+from typing import Any
 
 import anyio
 import h11
-from anyio.abc import ByteStream, TaskGroup
+from anyio.abc import ByteStream, Listener, TaskGroup
+from anyio.streams.tls import TLSListener
 
 from ..errors import ChervilstageError
 from ..state.types import Address
@@ -28,12 +31,20 @@
 
 
 async def start_http_server(
-    group: TaskGroup, address: Address, handler: HttpHandler
+    group: TaskGroup,
+    address: Address,
+    handler: HttpHandler,
+    tls: SSLContext | None = None,
 ) -> None:
-    """Bind an address and answer requests with the handler until cancelled."""
-    listener = await anyio.create_tcp_listener(
+    """Bind an address and answer requests with the handler until cancelled.
+
+    :param tls: the certificate and key to serve over TLS, if any.
+    """
+    listener: Listener[Any] = await anyio.create_tcp_listener(
         local_host=address.host, local_port=address.port
     )
+    if tls is not None:
+        listener = TLSListener(listener, tls, standard_compatible=False)
 
     async def serve(stream: ByteStream) -> None:
         await serve_http(stream, handler)
--- /dev/null
+++ b/src/chervilstage/transport/log_store.py
@@ -0,0 +1,224 @@
+"""The files of the log on one data folder, synced before anything is acknowledged.
+
+``meta`` names the log file and the snapshot file in use and says how much of the log
+is synced. It is replaced atomically, so it is the point at which a vote, a batch of
+entries or a snapshot becomes durable. Files that it does not name are left over from
+an interrupted replacement and are removed at start.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from pathlib import Path
+from typing import BinaryIO
+
+from ..errors.configuration import LogDamagedError
+from ..protocol.log_files import (
+    Meta,
+    encode_log_entry,
+    encode_meta,
+    encode_snapshot_file,
+    read_meta,
+    read_records,
+    read_snapshot_file,
+)
+from ..state.replica import LogEntry, Snapshot, Stored, Vote
+
+META = "meta"
+META_NEW = "meta.new"
+
+SyncObserver = Callable[[float], None]
+
+
+class LogStore:
+    """Holds the log, the snapshot, the vote and the identity of a replica.
+
+    :param folder: the data folder.
+    :param identity: the identity to take if the folder is blank.
+    :param observe: called with the seconds that each batch has stalled the loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        identity: int,
+        observe: SyncObserver = lambda seconds: None,
+        sync_file: Callable[[int], None] = os.fsync,
+    ) -> None:
+        self.meta: Meta
+        self.file: BinaryIO
+        self.folder = folder
+        self.observe = observe
+        self.sync_file = sync_file
+        self.snapshot = Snapshot()
+        self.ends: list[int] = []
+        self.has_new_files = False
+        folder.mkdir(parents=True, exist_ok=True)
+        self.stored = self._load() if self._is_used() else self._create(identity)
+
+    def save_vote(self, vote: Vote) -> None:
+        """Note a vote; it is durable after ``sync``."""
+        self.meta = self.meta._replace(vote=vote)
+
+    def save_entries(self, after: int, entries: Sequence[LogEntry]) -> None:
+        """Write entries in place of all after an entry; durable after ``sync``."""
+        kept = after - self.snapshot.position
+        if kept < len(self.ends):
+            self._rewrite(self._bytes_up_to(kept), self.ends[:kept])
+        for entry in entries:
+            self._write(encode_log_entry(entry))
+
+    def save_snapshot(self, snapshot: Snapshot, entries: Sequence[LogEntry]) -> None:
+        """Replace the snapshot and the log; durable after ``sync``."""
+        number = max(self.meta.snapshot_number, self.meta.log_number) + 1
+        path = self._snapshot_path(number)
+        with path.open("wb") as file:
+            file.write(encode_snapshot_file(snapshot))
+            file.flush()
+            self.sync_file(file.fileno())
+        self.meta = self.meta._replace(snapshot_number=number)
+        self.snapshot = snapshot
+        self._rewrite(b"", [])
+        for entry in entries:
+            self._write(encode_log_entry(entry))
+
+    def sync(self) -> None:
+        """Make all that was saved durable."""
+        started = time.perf_counter()
+        self.file.flush()
+        self.sync_file(self.file.fileno())
+        size = self.ends[-1] if self.ends else 0
+        self.meta = self.meta._replace(synced_bytes=size)
+        replaced = self.has_new_files
+        self._replace_meta()
+        if replaced:
+            self._remove_others()
+        self.observe(time.perf_counter() - started)
+
+    def close(self) -> None:
+        """Close the log file."""
+        self.file.close()
+
+    def _is_used(self) -> bool:
+        if (self.folder / META).exists():
+            return True
+        used = any(path.stat().st_size for path in self.folder.glob("log-*"))
+        if used or any(self.folder.glob("snapshot-*")):
+            raise LogDamagedError(
+                file=self.folder / META, offset=0, reason="file is missing"
+            )
+        return False
+
+    def _create(self, identity: int) -> Stored:
+        self.meta = Meta(
+            identity=identity,
+            vote=Vote(),
+            log_number=1,
+            snapshot_number=0,
+            synced_bytes=0,
+        )
+        self.file = self._open_log(1, "wb")
+        self.sync()
+        self._sync_folder(self.folder.parent)
+        return Stored(
+            identity=identity, vote=Vote(), snapshot=self.snapshot, entries=()
+        )
+
+    def _load(self) -> Stored:
+        self.meta = read_meta(self._read(META), str(self.folder / META))
+        if self.meta.snapshot_number:
+            path = self._snapshot_path(self.meta.snapshot_number)
+            self.snapshot = read_snapshot_file(self._read(path.name), str(path))
+        path = self._log_path(self.meta.log_number)
+        data = self._read(path.name)
+        records = read_records(data, self.meta.synced_bytes, str(path))
+        self._check_start(records.entries, path)
+        self.ends = list(records.ends)
+        self.file = self._open_log(self.meta.log_number, "r+b")
+        self.file.truncate(self.ends[-1] if self.ends else 0)
+        self.file.seek(0, os.SEEK_END)
+        self.sync()
+        self._remove_others()
+        return Stored(
+            identity=self.meta.identity,
+            vote=self.meta.vote,
+            snapshot=self.snapshot,
+            entries=records.entries,
+        )
+
+    def _check_start(self, entries: Sequence[LogEntry], path: Path) -> None:
+        if entries and entries[0].position != self.snapshot.position + 1:
+            reason = f"entry {entries[0].position} does not follow the snapshot"
+            raise LogDamagedError(file=path, offset=0, reason=reason)
+
+    def _read(self, name: str) -> bytes:
+        path = self.folder / name
+        try:
+            return path.read_bytes()
+        except FileNotFoundError as error:
+            raise LogDamagedError(
+                file=path, offset=0, reason="file is missing"
+            ) from error
+
+    def _write(self, record: bytes) -> None:
+        self.file.write(record)
+        self.ends.append((self.ends[-1] if self.ends else 0) + len(record))
+
+    def _bytes_up_to(self, kept: int) -> bytes:
+        self.file.flush()
+        data = self._log_path(self.meta.log_number).read_bytes()
+        return data[: self.ends[kept - 1]] if kept else b""
+
+    def _rewrite(self, data: bytes, ends: list[int]) -> None:
+        self.file.close()
+        number = max(self.meta.log_number, self.meta.snapshot_number) + 1
+        self.file = self._open_log(number, "wb")
+        self.file.write(data)
+        self.ends = list(ends)
+        self.meta = self.meta._replace(log_number=number)
+
+    def _replace_meta(self) -> None:
+        new = self.folder / META_NEW
+        with new.open("wb") as file:
+            file.write(encode_meta(self.meta))
+            file.flush()
+            self.sync_file(file.fileno())
+        if self.has_new_files:
+            self._sync_folder(self.folder)
+            self.has_new_files = False
+        new.replace(self.folder / META)
+        self._sync_folder(self.folder)
+
+    def _sync_folder(self, folder: Path) -> None:
+        descriptor = os.open(folder, os.O_RDONLY)
+        try:
+            self.sync_file(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _remove_others(self) -> None:
+        used = {
+            META,
+            self._log_path(self.meta.log_number).name,
+            self._snapshot_path(self.meta.snapshot_number).name,
+        }
+        for pattern in ("log-*", "snapshot-*"):
+            for path in self.folder.glob(pattern):
+                if path.name not in used:
+                    with suppress(FileNotFoundError):
+                        path.unlink()
+
+    def _open_log(self, number: int, mode: str) -> BinaryIO:
+        self.has_new_files |= mode == "wb"
+        file: BinaryIO = self._log_path(number).open(mode)  # type: ignore[assignment]
+        return file
+
+    def _log_path(self, number: int) -> Path:
+        return self.folder / f"log-{number}"
+
+    def _snapshot_path(self, number: int) -> Path:
+        return self.folder / f"snapshot-{number}"
--- a/src/chervilstage/transport/metrics.py
+++ b/src/chervilstage/transport/metrics.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from anyio.abc import TaskGroup
-from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from ..state.counters import Counters
@@ -46,10 +46,18 @@
             )
 
 
-def metrics_hooks(*, address: Address, counters: Counters, gauges: Gauges) -> Hooks:
+def metrics_hooks(
+    *,
+    address: Address,
+    counters: Counters,
+    gauges: Gauges,
+    histograms: Iterable[Histogram] = (),
+) -> Hooks:
     """Return the hooks of an endpoint that answers ``GET /metrics``."""
     registry = CollectorRegistry()
     registry.register(CountersCollector(counters=counters, gauges=gauges))
+    for histogram in histograms:
+        registry.register(histogram)
 
     async def answer(request: HttpRequest) -> HttpResponse:
         if request.method != "GET" or request.target != "/metrics":
--- /dev/null
+++ b/src/chervilstage/transport/operator_calls.py
@@ -0,0 +1,210 @@
+"""The calls of operators.
+
+=======  ==================  =====================================================
+method   path                answer
+=======  ==================  =====================================================
+GET      /v1/configuration   the newest accepted configuration; ``stale=true``
+                             answers from this replica alone, without a majority
+POST     /v1/changes         the outcome of a change (accepted, refused, conflict)
+GET      /v1/audit           the audit trail, oldest first; ``since`` and ``until``
+                             (seconds since the epoch), ``operator``,
+                             ``data_centre``, ``limit`` (newest ones), ``stale``
+GET      /v1/status          this replica, all replicas, all entries
+GET      /v1/members         the set of replicas as this replica knows it
+POST     /v1/members         add, remove or replace a replica
+=======  ==================  =====================================================
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from ..coordination.configuration import check_resend, select_outcomes
+from ..coordination.replica_members import (
+    MembersAction,
+    MembersRequest,
+    change_members,
+)
+from ..coordination.replica_terms import check_lease, has_leader, lease_holds
+from ..errors.configuration import (
+    CallUnknownError,
+    ChangeSizeError,
+    MembersChangeError,
+)
+from ..protocol.changes import decode_change, encode_outcome, encode_outcomes
+from ..protocol.control_messages import OperatorCall
+from ..protocol.documents import encode_configuration
+from ..protocol.operator_documents import (
+    MembersChangeDocument,
+    Parameters,
+    decode_members_change,
+    entry_document,
+    members_document,
+    number_parameter,
+    parse_target,
+    reached_document,
+    replica_document,
+)
+from ..state.entry_directory import EntryDirectory
+from ..state.replica import Role
+from ..state.replica_set import ReplicaMember
+from ..state.types import Address, Peer
+from .replica_driver import ReplicaDriver, replica_clock
+from .replica_formation import ReplicaFormation
+from .status_collector import collect_statuses
+
+MAXIMUM_CHANGE_BYTES = 2 * 1024 * 1024
+DEFAULT_AUDIT_ENTRIES = 1_000
+END_OF_TIME = 1e12
+
+CallHandler = Callable[[Parameters, bytes], Awaitable[bytes]]
+
+
+class OperatorCalls:
+    """Answers operators from the replica of this process.
+
+    :param name: the name of this replica.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        driver: ReplicaDriver,
+        formation: ReplicaFormation,
+        entries: EntryDirectory,
+    ) -> None:
+        self.name = name
+        self.driver = driver
+        self.formation = formation
+        self.entries = entries
+        self.handlers: Mapping[tuple[str, str], CallHandler] = {
+            ("GET", "/v1/configuration"): self.configuration,
+            ("POST", "/v1/changes"): self.change,
+            ("GET", "/v1/audit"): self.audit,
+            ("GET", "/v1/status"): self.status,
+            ("GET", "/v1/members"): self.members,
+            ("POST", "/v1/members"): self.change_members,
+        }
+
+    async def answer(self, call: OperatorCall) -> bytes:
+        """Return the JSON answer of a call.
+
+        :raises CallUnknownError: there is no such call.
+        :raises NotLeaderError: another replica has to answer.
+        """
+        target = parse_target(call.target)
+        handler = self.handlers.get((call.method, target.path))
+        if handler is None:
+            raise CallUnknownError(method=call.method, path=target.path)
+        return await handler(target.parameters, call.body)
+
+    def check_fresh(self, parameters: Parameters) -> None:
+        """Check that this replica may answer a read."""
+        if parameters.get("stale") != "true":
+            check_lease(self.driver.replica, replica_clock())
+
+    async def configuration(self, parameters: Parameters, body: bytes) -> bytes:
+        """Answer with the newest accepted configuration."""
+        self.check_fresh(parameters)
+        return encode_configuration(self.driver.replica.applied.configuration)
+
+    async def change(self, parameters: Parameters, body: bytes) -> bytes:
+        """Submit a change."""
+        if len(body) > MAXIMUM_CHANGE_BYTES:
+            raise ChangeSizeError(size=len(body), limit=MAXIMUM_CHANGE_BYTES)
+        return encode_outcome(await self.driver.submit(decode_change(body)))
+
+    async def audit(self, parameters: Parameters, body: bytes) -> bytes:
+        """Answer with the matching entries of the audit trail."""
+        self.check_fresh(parameters)
+        found = select_outcomes(
+            self.driver.replica.applied.outcomes.values(),
+            since=number_parameter(parameters, "since", 0.0),
+            until=number_parameter(parameters, "until", END_OF_TIME),
+            operator=parameters.get("operator", ""),
+            data_centre=parameters.get("data_centre", ""),
+        )
+        limit = int(number_parameter(parameters, "limit", DEFAULT_AUDIT_ENTRIES))
+        return encode_outcomes(found[-limit:] if limit > 0 else [])
+
+    async def members(self, parameters: Parameters, body: bytes) -> bytes:
+        """Answer with the set of replicas."""
+        replica = self.driver.replica
+        leader = replica.members.find(replica.leader)
+        document = {
+            "leader": leader.name if leader else "",
+            "members": members_document(replica.members),
+        }
+        return json.dumps(document).encode()
+
+    async def change_members(self, parameters: Parameters, body: bytes) -> bytes:
+        """Add, remove or replace a replica."""
+        document = decode_members_change(body)
+        driver = self.driver
+        check_lease(driver.replica, replica_clock())
+        operation = document["operation_id"]
+        known = driver.replica.applied.outcomes.get(operation)
+        if known is None:
+            member = await self.new_member(document)
+            request = MembersRequest(
+                operation_id=operation,
+                operator=document["operator"],
+                action=MembersAction(document["action"]),
+                name=document["name"],
+                member=member,
+            )
+            now = replica_clock()
+            driver.take(change_members(driver.replica, request, now, time.time()))
+            known = await driver.wait_for(operation)
+        return encode_outcome(check_resend(known, document["operator"]))
+
+    async def new_member(self, document: MembersChangeDocument) -> ReplicaMember | None:
+        """Ask the replica that is to join for its identity."""
+        if document["action"] == "remove":
+            return None
+        if "host" not in document or "port" not in document:
+            raise MembersChangeError(reason="host and port of the replica are missing")
+        address = Address(host=document["host"], port=document["port"])
+        return await self.formation.new_member(document["name"], address)
+
+    async def status(self, parameters: Parameters, body: bytes) -> bytes:
+        """Answer with the status of this replica, all replicas and all entries."""
+        client = self.formation.client
+        replica, now = self.driver.replica, replica_clock()
+        replicas = [
+            Peer(name=m.name, data_centre=m.data_centre, address=m.address)
+            for m in replica.members.members
+        ]
+        reached = await collect_statuses(client, replicas)
+        for status in reached.values():
+            self.entries.note(status.group if status else (), now)
+        known = self.entries.known(now)
+        entries = await collect_statuses(client, known)
+        for status in entries.values():
+            self.entries.note(status.group if status else (), now)
+        later = [p for p in self.entries.known(now) if p.name not in entries]
+        entries |= await collect_statuses(client, later)
+        document: dict[str, Any] = {
+            "replica": replica_document(self.name, replica, self.has_quorum()),
+            "members": [
+                {**member, **reached_document(reached.get(member["name"]))}
+                for member in members_document(replica.members)
+            ],
+            "entries": [
+                entry_document(peer, entries[peer.name])
+                for peer in self.entries.known(now)
+                if peer.name in entries
+            ],
+        }
+        return json.dumps(document).encode()
+
+    def has_quorum(self) -> bool:
+        """Tell whether this replica leads with a majority, or hears of a leader."""
+        replica, now = self.driver.replica, replica_clock()
+        if replica.role is Role.LEADER:
+            return lease_holds(replica, now)
+        return bool(replica.leader) and has_leader(replica, now)
--- /dev/null
+++ b/src/chervilstage/transport/replica_driver.py
@@ -0,0 +1,214 @@
+"""Carries out what a replica of the configuration log decides."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..coordination.configuration import check_resend
+from ..coordination.election import tick
+from ..coordination.replica import (
+    next_timer,
+    persisted,
+    propose,
+    receive,
+    start_replica,
+)
+from ..coordination.replica_effects import (
+    ReplicaEffect,
+    Reply,
+    SaveEntries,
+    SaveSnapshot,
+    SaveVote,
+    Send,
+)
+from ..coordination.replica_members import promote_learner
+from ..coordination.replica_terms import check_lease
+from ..errors.configuration import ChangeUnsettledError, LogWriteError
+from ..protocol.consensus_messages import decode_replica_message
+from ..protocol.kinds import Kind
+from ..state.configuration import Change, ChangeOutcome
+from ..state.replica import ChangeCommand
+from ..state.replica_messages import ReplicaMessage
+from ..state.types import Address
+from .application import Hooks
+from .event_log import log_event
+from .frame_channel import FrameServer
+from .log_store import LogStore
+from .replica_links import ReplicaLinks
+
+CHANGE_SECONDS = 5.0
+BATCH_EFFECTS = 64
+
+
+def replica_clock() -> float:
+    """Return monotonic seconds that go on while the VM is suspended.
+
+    A lease must run out during a suspension, which ``CLOCK_MONOTONIC`` leaves out.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class ReplicaDriver:
+    """Feeds events to the replica, writes, syncs and sends.
+
+    All that is decided in one turn of the loop is synced at once.
+
+    :param address: where this replica takes frames.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        store: LogStore,
+        links: ReplicaLinks,
+        frames: FrameServer,
+    ) -> None:
+        self.address = address
+        self.store = store
+        self.links = links
+        self.rng = Random()
+        self.replica = start_replica(store.stored, replica_clock(), self.rng)
+        self.pending: list[ReplicaEffect] = []
+        self.wake = anyio.Event()
+        self.revision_changed = anyio.Event()
+        self.waiting: dict[str, anyio.Event] = {}
+        self.shown = (self.replica.role, self.replica.term)
+        for kind in (Kind.VOTE, Kind.APPEND, Kind.SNAPSHOT):
+            frames.serve(kind, self.receive)
+
+    def take(self, effects: Sequence[ReplicaEffect]) -> None:
+        """Carry out effects at the end of this turn, or now if there are many."""
+        self.pending.extend(effects)
+        if len(self.pending) >= BATCH_EFFECTS:
+            self.flush()
+        self.wake.set()
+
+    def flush(self) -> None:
+        """Make durable what has to be, then send and reply.
+
+        :raises LogWriteError: the disk has failed; nothing is acknowledged any more.
+        """
+        while self.pending:
+            batch, self.pending = self.pending, []
+            if self.save(batch):
+                last = self.replica.log.last_index
+                now = replica_clock()
+                self.pending += persisted(self.replica, last, now, self.rng)
+            for effect in batch:
+                if isinstance(effect, Send):
+                    self.send(effect)
+                elif isinstance(effect, Reply):
+                    self.reply(effect.outcome)
+        self.show()
+
+    def save(self, batch: Sequence[ReplicaEffect]) -> bool:
+        """Write and sync the durable effects of a batch, and tell if there were any."""
+        saved = False
+        try:
+            for effect in batch:
+                if isinstance(effect, SaveVote):
+                    self.store.save_vote(effect.vote)
+                elif isinstance(effect, SaveEntries):
+                    self.store.save_entries(effect.after, effect.entries)
+                elif isinstance(effect, SaveSnapshot):
+                    self.store.save_snapshot(effect.snapshot, effect.entries)
+                else:
+                    continue
+                saved = True
+            if saved:
+                self.store.sync()
+        except OSError as error:
+            raise LogWriteError(folder=self.store.folder, reason=error) from error
+        return saved
+
+    def send(self, effect: Send) -> None:
+        """Send a message."""
+        message = ReplicaMessage(
+            sender=self.replica.identity,
+            to=effect.to,
+            origin=self.address,
+            body=effect.body,
+        )
+        self.links.send(effect.address, message)
+
+    def reply(self, outcome: ChangeOutcome) -> None:
+        """Log an outcome and wake who waits for it."""
+        log_event("change_decided", **outcome._asdict())
+        waiting = self.waiting.pop(outcome.operation_id, None)
+        if waiting is not None:
+            waiting.set()
+        self.revision_changed.set()
+        self.revision_changed = anyio.Event()
+
+    def show(self) -> None:
+        """Log a change of the role."""
+        shown = (self.replica.role, self.replica.term)
+        if shown != self.shown:
+            self.shown = shown
+            role, term = shown
+            log_event("replica_role", role=role.value, term=term)
+
+    async def receive(self, sender: str, body: bytes) -> bytes:
+        """Take a message of another replica."""
+        message = decode_replica_message(body)
+        self.take(receive(self.replica, message, replica_clock(), self.rng))
+        return b""
+
+    async def submit(self, change: Change) -> ChangeOutcome:
+        """Propose a change and wait for its outcome; a resend gets the first one.
+
+        :raises ChangeUnsettledError: the outcome is not known in time.
+        """
+        now = replica_clock()
+        check_lease(self.replica, now)
+        operation = change.operation_id
+        known = self.replica.applied.outcomes.get(operation)
+        if known is None:
+            if operation not in self.waiting:
+                command = ChangeCommand(change=change, at=time.time())
+                self.take(propose(self.replica, command, now))
+            known = await self.wait_for(operation)
+        return check_resend(known, change.operator)
+
+    async def wait_for(self, operation: str) -> ChangeOutcome:
+        """Wait until an operation has an outcome."""
+        event = self.waiting.setdefault(operation, anyio.Event())
+        with anyio.move_on_after(CHANGE_SECONDS):
+            await event.wait()
+        outcome = self.replica.applied.outcomes.get(operation)
+        if outcome is None:
+            self.waiting.pop(operation, None)
+            raise ChangeUnsettledError(operation_id=operation, seconds=CHANGE_SECONDS)
+        return outcome
+
+    async def run(self) -> None:
+        """Do what is due until cancelled."""
+        while True:
+            now = replica_clock()
+            self.pending += tick(self.replica, now, self.rng)
+            self.pending += promote_learner(self.replica, now, time.time())
+            self.flush()
+            with anyio.move_on_after(max(0.0, next_timer(self.replica) - now)):
+                await self.wake.wait()
+            self.wake = anyio.Event()
+
+    async def start(self, group: TaskGroup) -> None:
+        """Begin to take part."""
+        await self.links.start(group)
+        log_event(
+            "log_loaded",
+            identity=f"{self.replica.identity:016x}",
+            last=self.replica.log.last_index,
+            term=self.replica.term,
+        )
+        group.start_soon(self.run)
+
+    def hooks(self) -> Hooks:
+        """Return the life-cycle hooks."""
+        return Hooks(name="replica", start=self.start)
