--- a/src/chervilstage/coordination/replica.py
+++ b/src/chervilstage/coordination/replica.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from random import Random
+from typing import NamedTuple
 
 from ..errors.configuration import ReplicaBusyError
-from ..state.replica import Command, Replica, Role, Stored
+from ..state.configuration import Change, ChangeOutcome
+from ..state.replica import ChangeCommand, Command, Replica, Role, Stored
 from ..state.replica_messages import (
     Append,
     AppendReply,
@@ -14,6 +16,7 @@
     VoteReply,
     VoteRequest,
 )
+from .configuration import check_resend
 from .election import receive_vote_reply, receive_vote_request
 from .replica_effects import ReplicaEffect
 from .replica_terms import (
@@ -34,6 +37,13 @@
 MAXIMUM_WAITING = 256
 
 
+class Submission(NamedTuple):
+    """The known outcome of a change, or the effects that lead to one."""
+
+    outcome: ChangeOutcome | None
+    effects: tuple[ReplicaEffect, ...] = ()
+
+
 def start_replica(stored: Stored, now: float, rng: Random) -> Replica:
     """Return the replica of what its disk holds.
 
@@ -85,6 +95,23 @@
     return [append_command(replica, command), *broadcast(replica, now)]
 
 
+def submit(replica: Replica, change: Change, now: float, at: float) -> Submission:
+    """Take a change of an operator; one that is sent again gets its first outcome.
+
+    Only a leader whose lease holds may look up outcomes, since only it knows all that
+    has been accepted.
+
+    :param at: seconds since the epoch.
+    :raises OperationReusedError: the operation id belongs to another operator.
+    """
+    check_lease(replica, now)
+    known = replica.applied.outcomes.get(change.operation_id)
+    if known is not None:
+        return Submission(outcome=check_resend(known, change.operator))
+    command = ChangeCommand(change=change, at=at)
+    return Submission(outcome=None, effects=tuple(propose(replica, command, now)))
+
+
 def persisted(
     replica: Replica, index: int, now: float, rng: Random
 ) -> list[ReplicaEffect]:
--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -14,9 +14,9 @@
 from ..coordination.replica import (
     next_timer,
     persisted,
-    propose,
     receive,
     start_replica,
+    submit,
 )
 from ..coordination.replica_effects import (
     ReplicaEffect,
@@ -27,12 +27,10 @@
     Send,
 )
 from ..coordination.replica_members import promote_learner
-from ..coordination.replica_terms import check_lease
 from ..errors.configuration import ChangeUnsettledError, LogWriteError
 from ..protocol.consensus_messages import decode_replica_message
 from ..protocol.kinds import Kind
 from ..state.configuration import Change, ChangeOutcome
-from ..state.replica import ChangeCommand
 from ..state.replica_messages import ReplicaMessage
 from ..state.types import Address
 from .application import Hooks
@@ -165,16 +163,14 @@
 
         :raises ChangeUnsettledError: the outcome is not known in time.
         """
-        now = replica_clock()
-        check_lease(self.replica, now)
         operation = change.operation_id
-        known = self.replica.applied.outcomes.get(operation)
-        if known is None:
-            if operation not in self.waiting:
-                command = ChangeCommand(change=change, at=time.time())
-                self.take(propose(self.replica, command, now))
-            known = await self.wait_for(operation)
-        return check_resend(known, change.operator)
+        if operation not in self.waiting:
+            now = replica_clock()
+            submission = submit(self.replica, change, now, time.time())
+            if submission.outcome is not None:
+                return submission.outcome
+            self.take(submission.effects)
+        return check_resend(await self.wait_for(operation), change.operator)
 
     async def wait_for(self, operation: str) -> ChangeOutcome:
         """Wait until an operation has an outcome."""
--- /dev/null
+++ b/testing/coordination/test_replica.py
@@ -0,0 +1,236 @@
+"""The replicated log under crashes, cuts, freezes, lost disks and lost messages."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+from hypothesis import given, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from chervilstage.coordination import replica_apply
+from chervilstage.coordination.replica_members import (
+    MembersAction,
+    MembersRequest,
+    change_members,
+)
+from chervilstage.errors import ChervilstageError
+from chervilstage.state.configuration import Change
+from chervilstage.state.replica_set import ReplicaMember
+from testing.support.replica_fakes import Node, ReplicaCell
+from testing.support.replica_faults import (
+    FaultSeries,
+    change_of,
+    revision_of,
+    wrong_winners,
+)
+
+NAMES = ["a", "b", "c", "d", "e"]
+SNAPSHOT_ENTRIES = 6
+KEPT_ENTRIES = 2
+SERIES_STEPS = 150
+
+node_numbers = st.integers(0, len(NAMES) - 1)
+
+
+class ReplicaMachine(RuleBasedStateMachine):
+    """Operators, faults and time in any order; ``ReplicaCell.check`` runs at each step.
+
+    Guards against lost or reverted changes, two winners of one revision, two replicas
+    that answer reads at once, and a resend that gets another result.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bounds = mock.patch.multiple(
+            replica_apply, SNAPSHOT_ENTRIES=SNAPSHOT_ENTRIES, KEPT_ENTRIES=KEPT_ENTRIES
+        )
+        self.bounds.start()
+        self.changes: list[Change] = []
+
+    @initialize(size=st.sampled_from([3, 3, 5]), seed=st.integers(0, 2**32))
+    def begin(self, size: int, seed: int) -> None:
+        """Let blank replicas form a set."""
+        self.cell = ReplicaCell(names=NAMES[:size], seed=seed)
+        self.cell.advance(4.0)
+
+    def node(self, number: int) -> Node:
+        """Return one of the replicas."""
+        nodes = list(self.cell.nodes.values())
+        return nodes[number % len(nodes)]
+
+    @rule(seconds=st.sampled_from([0.05, 0.2, 0.8, 1.5, 3.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.cell.advance(seconds)
+
+    @rule(number=node_numbers, behind=st.sampled_from([0, 0, 0, 1]))
+    def submit(self, number: int, behind: int) -> None:
+        """Ask a replica, or whichever leads, for a change."""
+        node = self.cell.leader() or self.node(number)
+        base = max(0, revision_of(node) - behind)
+        self.changes.append(change_of(f"change-{len(self.changes)}", base))
+        self.cell.submit(node, self.changes[-1])
+
+    @rule(number=node_numbers)
+    def race(self, number: int) -> None:
+        """Ask for two changes from one revision at once."""
+        base = revision_of(self.cell.leader() or self.node(number))
+        for _ in range(2):
+            self.changes.append(change_of(f"change-{len(self.changes)}", base))
+            self.cell.submit(self.cell.leader() or self.node(number), self.changes[-1])
+
+    @precondition(lambda self: self.changes)
+    @rule(number=node_numbers, pick=st.integers(0, 1000))
+    def resend(self, number: int, pick: int) -> None:
+        """Send a change again."""
+        change = self.changes[pick % len(self.changes)]
+        self.cell.submit(self.cell.leader() or self.node(number), change)
+
+    @rule(number=node_numbers)
+    def crash(self, number: int) -> None:
+        """Kill a replica."""
+        if self.node(number).replica is not None:
+            self.cell.crash(self.node(number))
+
+    @rule(number=node_numbers, writes=st.integers(1, 6))
+    def crash_at_write(self, number: int, writes: int) -> None:
+        """Kill a replica at one of its next writes."""
+        self.node(number).crash_in = writes
+
+    @rule(number=node_numbers)
+    def restart(self, number: int) -> None:
+        """Start a replica that is down."""
+        if self.node(number).replica is None:
+            self.cell.start(self.node(number))
+
+    @rule(number=node_numbers)
+    def wipe(self, number: int) -> None:
+        """Replace a VM as soon as all repairs before it have been committed."""
+        if self.cell.is_whole():
+            self.cell.wipe(self.node(number))
+
+    @rule(number=node_numbers, other=node_numbers)
+    def cut(self, number: int, other: int) -> None:
+        """Cut two replicas off from each other without a sign."""
+        self.cell.network.cut(self.node(number).name, self.node(other).name)
+
+    @rule(number=node_numbers)
+    def isolate(self, number: int) -> None:
+        """Put a replica behind a silent cut."""
+        for name in self.cell.nodes:
+            if name != self.node(number).name:
+                self.cell.network.cut(self.node(number).name, name)
+
+    @rule()
+    def isolate_leader(self) -> None:
+        """Put the leader behind a silent cut."""
+        leader = self.cell.leader()
+        for name in self.cell.nodes:
+            if leader is not None and name != leader.name:
+                self.cell.network.cut(leader.name, name)
+
+    @rule()
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cell.network.cuts.clear()
+
+    @rule(number=node_numbers)
+    def freeze(self, number: int) -> None:
+        """Freeze a replica."""
+        self.cell.frozen.add(self.node(number).name)
+
+    @rule()
+    def resume(self) -> None:
+        """Resume frozen replicas."""
+        self.cell.frozen.clear()
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.4]), delay=st.sampled_from([0.02, 0.6]))
+    def weather(self, loss: float, delay: float) -> None:
+        """Set loss and delay of the network."""
+        self.cell.network.loss, self.cell.network.delay = loss, delay
+
+    @rule(number=node_numbers, action=st.sampled_from(["add", "remove"]))
+    def change_members(self, number: int, action: str) -> None:
+        """Ask the leader to add or remove a replica."""
+        leader = self.cell.leader()
+        if leader is None or not self.cell.is_whole():
+            return
+        name = NAMES[number]
+        if action == "add" and name not in self.cell.nodes:
+            self.cell.optional.add(name)
+            self.ask_members(leader, MembersAction.ADD, name)
+        elif action == "remove" and len(self.cell.nodes) > 3:
+            self.cell.optional.add(name)
+            self.ask_members(leader, MembersAction.REMOVE, name)
+
+    def ask_members(self, leader: Node, action: MembersAction, name: str) -> None:
+        """Carry out a change of members at the leader."""
+        member = None
+        if action is MembersAction.ADD:
+            node = self.cell.add_node(name)
+            member = ReplicaMember(
+                name=name,
+                identity=node.disk.stored.identity,
+                data_centre="gl-erie",
+                address=node.address,
+            )
+        request = MembersRequest(
+            operation_id=f"members-{self.cell.now}",
+            operator="maria",
+            action=action,
+            name=name,
+            member=member,
+        )
+        assert leader.replica is not None
+        now = leader.clock(self.cell.now)
+        try:
+            effects = change_members(leader.replica, request, now, self.cell.now)
+        except ChervilstageError:
+            return
+        leader.pending += effects
+        self.cell.flush(leader)
+
+    def teardown(self) -> None:
+        """End all faults; everything that was acknowledged is still there."""
+        try:
+            if hasattr(self, "cell"):
+                self.check_end()
+        finally:
+            self.bounds.stop()
+
+    def check_end(self) -> None:
+        """Check what the leader knows after all faults have ended."""
+        leader = self.cell.settle()
+        assert leader.replica is not None
+        missing = self.cell.missing(leader.replica)
+        assert not missing, f"{missing} were acknowledged and are lost"
+        wrong = wrong_winners(leader.replica, self.changes)
+        assert not wrong, f"not the only winner of its revision: {wrong}"
+
+
+ReplicaMachine.TestCase.settings = settings(stateful_step_count=40)
+TestReplicas = ReplicaMachine.TestCase
+
+
+class FaultSeriesTests(TestCase):
+    """Guards against what shows only after many faults in a row."""
+
+    @given(st.integers(0, 2**32), st.sampled_from([3, 3, 5]))
+    def test_nothing_is_lost_in_a_long_series_of_faults(
+        self, seed: int, size: int
+    ) -> None:
+        with mock.patch.multiple(
+            replica_apply, SNAPSHOT_ENTRIES=SNAPSHOT_ENTRIES, KEPT_ENTRIES=KEPT_ENTRIES
+        ):
+            series = FaultSeries(size=size, seed=seed)
+            for _ in range(SERIES_STEPS):
+                series.step()
+            self.assertThat(series.lost(), Equals([]))
+            self.assertThat(series.wrong_winners(), Equals([]))
--- /dev/null
+++ b/testing/support/replica_fakes.py
@@ -0,0 +1,412 @@
+"""Replicas of the configuration log on fake clocks, disks and a fake network."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from random import Random
+from typing import NamedTuple
+
+from chervilstage.coordination.election import tick
+from chervilstage.coordination.replica import (
+    persisted,
+    receive,
+    start_replica,
+    submit,
+)
+from chervilstage.coordination.replica_effects import (
+    Persist,
+    ReplicaEffect,
+    Reply,
+    SaveEntries,
+    SaveVote,
+    Send,
+)
+from chervilstage.coordination.replica_members import (
+    form,
+    may_form,
+    promote_learner,
+    rejoin,
+)
+from chervilstage.coordination.replica_terms import lease_holds
+from chervilstage.errors import ChervilstageError
+from chervilstage.state.configuration import Change, ChangeOutcome
+from chervilstage.state.replica import LogEntry, Replica, Snapshot, Stored, Vote
+from chervilstage.state.replica_messages import Hello, ReplicaMessage
+from chervilstage.state.types import Address
+
+TICK_SECONDS = 0.05
+CLOCK_DRIFT = 0.05
+
+
+class FakeDisk:
+    """Keeps what was synced; what was only written may be lost or torn.
+
+    :param syncs: whether ``sync`` does anything; a disk without it is a baseline.
+    """
+
+    def __init__(self, *, identity: int, syncs: bool = True) -> None:
+        self.syncs = syncs
+        self.wipe(identity)
+
+    def wipe(self, identity: int) -> None:
+        """Become a blank disk."""
+        self.stored = Stored(
+            identity=identity, vote=Vote(), snapshot=Snapshot(), entries=()
+        )
+        self.written: list[Persist] = []
+
+    def write(self, effect: Persist) -> None:
+        """Write without syncing."""
+        self.written.append(effect)
+
+    def sync(self) -> None:
+        """Make all that was written durable."""
+        if self.syncs:
+            self.keep(len(self.written))
+
+    def keep(self, count: int) -> None:
+        """Make the first writes durable and lose the others."""
+        for effect in self.written[:count]:
+            self.stored = _applied(self.stored, effect)
+        self.written = []
+
+    def crash(self, rng: Random) -> None:
+        """Lose what was not synced, but for a first part of it, the last one torn."""
+        if not self.syncs:
+            self.written = []
+            return
+        count = rng.randint(0, len(self.written))
+        torn = self.written[count : count + 1]
+        self.keep(count)
+        for effect in torn:
+            if isinstance(effect, SaveEntries):
+                length = rng.randint(0, len(effect.entries))
+                part = effect._replace(entries=effect.entries[:length])
+                self.stored = _applied(self.stored, part)
+
+
+def _applied(stored: Stored, effect: Persist) -> Stored:
+    if isinstance(effect, SaveVote):
+        return stored._replace(vote=effect.vote)
+    if isinstance(effect, SaveEntries):
+        kept = tuple(e for e in stored.entries if e.position <= effect.after)
+        return stored._replace(entries=kept + effect.entries)
+    return stored._replace(snapshot=effect.snapshot, entries=effect.entries)
+
+
+class Packet(NamedTuple):
+    """A message on its way."""
+
+    due: float
+    number: int
+    source: str
+    target: str
+    message: ReplicaMessage
+
+
+class FakeNetwork:
+    """Delays, reorders and loses messages, and drops those across a silent cut."""
+
+    def __init__(self, *, rng: Random) -> None:
+        self.rng = rng
+        self.packets: list[Packet] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.delay = 0.02
+        self.sent = 0
+
+    def send(
+        self, now: float, source: str, target: str, message: ReplicaMessage
+    ) -> None:
+        """Send a message."""
+        if (source, target) in self.cuts or self.rng.random() < self.loss:
+            return
+        self.sent += 1
+        due = now + self.rng.random() * self.delay
+        self.packets.append(
+            Packet(
+                due=due,
+                number=self.sent,
+                source=source,
+                target=target,
+                message=message,
+            )
+        )
+
+    def arrived(self, now: float, frozen: set[str]) -> list[Packet]:
+        """Take the messages that have arrived at processes that run."""
+        ready = [p for p in self.packets if p.due <= now and p.target not in frozen]
+        taken = {p.number for p in ready}
+        self.packets = [p for p in self.packets if p.number not in taken]
+        return sorted(ready)
+
+    def cut(self, one: str, other: str) -> None:
+        """Drop silently what goes between two processes, either way."""
+        self.cuts |= {(one, other), (other, one)}
+        self.packets = [
+            p for p in self.packets if (p.source, p.target) not in self.cuts
+        ]
+
+
+class Node:
+    """A replica process; ``replica`` is None while it is down."""
+
+    def __init__(self, *, name: str, disk: FakeDisk, rate: float) -> None:
+        self.name = name
+        self.disk = disk
+        self.rate = rate
+        self.address = Address(host=name, port=1)
+        self.replica: Replica | None = None
+        self.pending: list[ReplicaEffect] = []
+        self.asked: set[str] = set()
+        self.crash_in = 0
+
+    def clock(self, now: float) -> float:
+        """Return the time of this node's own clock, which drifts."""
+        return now * self.rate
+
+
+class ReplicaCell:
+    """Several replicas and what operators have been told.
+
+    ``told`` holds the first answer to each operation. ``histories`` holds, by
+    position, the entry that the first replica to commit there has committed.
+    ``optional`` names replicas that operators have asked to add or to remove.
+    """
+
+    def __init__(self, *, names: list[str], seed: int, syncs: bool = True) -> None:
+        self.rng = Random(seed)
+        self.network = FakeNetwork(rng=self.rng)
+        self.now = 1.0
+        self.identities = 0
+        self.listed = list(names)
+        self.syncs = syncs
+        self.nodes: dict[str, Node] = {}
+        self.frozen: set[str] = set()
+        self.optional: set[str] = set()
+        self.told: dict[str, ChangeOutcome] = {}
+        self.differing: list[str] = []
+        self.histories: dict[int, LogEntry] = {}
+        for name in names:
+            self.add_node(name)
+
+    def new_identity(self) -> int:
+        """Return an identity that no disk has had."""
+        self.identities += 1
+        return self.identities
+
+    def add_node(self, name: str) -> Node:
+        """Start a replica with a blank disk."""
+        disk = FakeDisk(identity=self.new_identity(), syncs=self.syncs)
+        rate = 1.0 + CLOCK_DRIFT * (2 * self.rng.random() - 1)
+        node = self.nodes[name] = Node(name=name, disk=disk, rate=rate)
+        self.start(node)
+        return node
+
+    def start(self, node: Node) -> None:
+        """Start a replica from its disk."""
+        node.replica = start_replica(node.disk.stored, node.clock(self.now), self.rng)
+        node.pending, node.asked = [], set()
+
+    def crash(self, node: Node) -> None:
+        """Kill a replica; what its disk had not synced may be lost."""
+        for effect in node.pending:
+            if isinstance(effect, Persist) and self.syncs:
+                node.disk.write(effect)
+        node.disk.crash(self.rng)
+        node.replica = None
+        self.frozen.discard(node.name)
+
+    def wipe(self, node: Node) -> None:
+        """Replace the VM of a replica by one with a blank disk."""
+        self.crash(node)
+        node.disk.wipe(self.new_identity())
+        self.start(node)
+
+    def running(self) -> Iterator[tuple[Node, Replica]]:
+        """Yield the replicas that run."""
+        for node in list(self.nodes.values()):
+            if node.replica is not None and node.name not in self.frozen:
+                yield node, node.replica
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_SECONDS
+            self.deliver()
+            for node, replica in self.running():
+                now = node.clock(self.now)
+                node.pending += tick(replica, now, self.rng)
+                node.pending += promote_learner(replica, now, self.now)
+                if not replica.is_formed():
+                    self.greet(node, replica)
+                self.flush(node)
+            self.check()
+
+    def deliver(self) -> None:
+        """Hand over the messages that have arrived."""
+        for packet in self.network.arrived(self.now, self.frozen):
+            node = self.nodes.get(packet.target)
+            if node is None or node.replica is None:
+                continue
+            now = node.clock(self.now)
+            node.pending += receive(node.replica, packet.message, now, self.rng)
+            self.flush(node)
+
+    def flush(self, node: Node) -> None:
+        """Write, sync, send and reply, as the driver does."""
+        while node.pending and node.replica is not None:
+            batch, node.pending = node.pending, []
+            writes = [e for e in batch if isinstance(e, Persist)]
+            for effect in writes:
+                node.disk.write(effect)
+            if self.crashes(node, len(writes)):
+                return
+            if writes:
+                node.disk.sync()
+                last, now = node.replica.log.last_index, node.clock(self.now)
+                node.pending += persisted(node.replica, last, now, self.rng)
+                if self.crashes(node, 1):
+                    return
+            for effect in batch:
+                self.carry_out(node, node.replica, effect)
+
+    def crashes(self, node: Node, writes: int) -> bool:
+        """Kill the replica if the write at which it is to die has come."""
+        if not node.crash_in or not writes:
+            return False
+        node.crash_in -= min(writes, node.crash_in)
+        if node.crash_in:
+            return False
+        self.crash(node)
+        return True
+
+    def carry_out(self, node: Node, replica: Replica, effect: ReplicaEffect) -> None:
+        """Send a message or tell an operator."""
+        if isinstance(effect, Send):
+            message = ReplicaMessage(
+                sender=replica.identity,
+                to=effect.to,
+                origin=node.address,
+                body=effect.body,
+            )
+            target = effect.address.host
+            self.network.send(self.now, node.name, target, message)
+        elif isinstance(effect, Reply) and effect.outcome.operation_id in node.asked:
+            self.tell(effect.outcome)
+
+    def tell(self, outcome: ChangeOutcome) -> None:
+        """Note what an operator was told."""
+        first = self.told.setdefault(outcome.operation_id, outcome)
+        if first != outcome:
+            self.differing.append(outcome.operation_id)
+
+    def submit(self, node: Node, change: Change) -> None:
+        """Send a change to a replica; typed errors are the operator's answer."""
+        if node.replica is None or node.name in self.frozen:
+            return
+        node.asked.add(change.operation_id)
+        try:
+            submission = submit(
+                node.replica, change, node.clock(self.now), round(self.now, 3)
+            )
+        except ChervilstageError:
+            return
+        if submission.outcome is not None:
+            self.tell(submission.outcome)
+        node.pending += submission.effects
+        self.flush(node)
+
+    def hello(self, node: Node, replica: Replica) -> Hello:
+        """Return what a replica says of itself."""
+        return Hello(
+            name=node.name,
+            identity=replica.identity,
+            data_centre="gl-erie",
+            address=node.address,
+            formed=replica.is_formed(),
+        )
+
+    def greet(self, node: Node, replica: Replica) -> None:
+        """Exchange hellos with the replicas that can be reached."""
+        own = self.hello(node, replica)
+        answers = []
+        for other, answering in self.running():
+            if other is node or (node.name, other.name) in self.network.cuts:
+                continue
+            now = other.clock(self.now)
+            other.pending += rejoin(answering, own, now, self.now)
+            self.flush(other)
+            if other.replica is not None:
+                answers.append(self.hello(other, answering))
+        if may_form(own, self.listed, answers):
+            node.pending += form(replica, [own, *answers])
+
+    def leaders(self) -> list[str]:
+        """Return the replicas that answer reads now, frozen ones left out."""
+        return [n.name for n, r in self.running() if lease_holds(r, n.clock(self.now))]
+
+    def leader(self) -> Node | None:
+        """Return a replica that answers as the leader."""
+        return next((self.nodes[name] for name in self.leaders()), None)
+
+    def check(self) -> None:
+        """Check what must hold at every moment.
+
+        :raises AssertionError: it does not hold.
+        """
+        leaders = self.leaders()
+        assert len(leaders) <= 1, f"{leaders} answer reads at {self.now:.2f}"
+        assert not self.differing, f"{self.differing} got two answers"
+        for _, replica in self.running():
+            self.check_history(replica)
+        for name in leaders:
+            replica = self.nodes[name].replica
+            assert replica is not None
+            missing = self.missing(replica)
+            assert not missing, f"{name} leads without {missing}"
+
+    def check_history(self, replica: Replica) -> None:
+        """Check that all replicas have committed the same entries."""
+        log = replica.log
+        for entry in log.entries[: replica.commit - log.base_index]:
+            first = self.histories.setdefault(entry.position, entry)
+            assert first == entry, f"{first} and {entry} are committed"
+
+    def missing(self, replica: Replica) -> list[str]:
+        """Return the operations whose told outcome a replica does not know."""
+        known = replica.applied.outcomes
+        return [i for i, outcome in self.told.items() if known.get(i) != outcome]
+
+    def is_whole(self) -> bool:
+        """Tell whether each disk, and no lost one, has a vote in the newest set."""
+        newest = max(
+            (r for _, r in self.running()), key=lambda r: r.commit, default=None
+        )
+        if newest is None:
+            return False
+        voters = set(newest.log.members_at(newest.commit).voters())
+        present = {n.name: n.disk.stored.identity for n in self.nodes.values()}
+        needed = {i for name, i in present.items() if name not in self.optional}
+        return needed <= voters <= set(present.values())
+
+    def settle(self, seconds: float = 20.0) -> Node:
+        """End all faults and wait for a leader.
+
+        :raises AssertionError: there is none in time.
+        """
+        self.network.cuts.clear()
+        self.network.loss, self.network.delay = 0.0, 0.02
+        self.frozen.clear()
+        for node in self.nodes.values():
+            node.crash_in = 0
+            if node.replica is None:
+                self.start(node)
+        end = self.now + seconds
+        while self.now < end:
+            self.advance(TICK_SECONDS)
+            leader = self.leader()
+            if leader is not None and self.is_whole():
+                return leader
+        raise AssertionError("no leader after all faults have ended")
