Test control replicas as processes and measure the spread of configuration

Cause: nothing showed the replicas, entries and operators' calls together.

Cell starts several control replicas. The tests kill the leader, freeze and resume it, wipe two disks in a row, let operators race under one revision, restart every process, take away the majority, damage a log, change the set of replicas and connect over TLS.

--- a/testing/support/cell.py
+++ b/testing/support/cell.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import http.client
+import json
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from .processes import ROOT, Processes, Started, unique_host, wait_until
 
@@ -12,6 +14,7 @@
 METRICS_PORT = 7300
 CONTROL_PORT = 7400
 OPERATOR_PORT = 7500
+HTTP_OK = 200
 KEY = "key-of-the-test-processes-0123456789"
 
 
@@ -24,44 +27,72 @@
 
 
 class Cell:
-    """One control process, entries and upstreams on loopback.
+    """Control replicas, entries and upstreams on loopback.
 
     :param folder: where settings, logs and data go.
     :param layout: the data centre of each entry.
+    :param controls: how many control replicas there are.
     """
 
-    def __init__(self, *, folder: Path, layout: list[str]) -> None:
+    def __init__(self, *, folder: Path, layout: list[str], controls: int = 1) -> None:
         self.folder = folder
         self.processes = Processes(folder=folder)
         self.key_file = folder / "shared.key"
         self.key_file.write_text(KEY)
-        self.control_host = unique_host()
+        self.controls = [
+            EntryHost(
+                name=f"control-{n}",
+                data_centre=layout[(n - 1) % len(layout)],
+                host=unique_host(),
+            )
+            for n in range(1, controls + 1)
+        ]
+        self.control_host = self.controls[0].host
         self.entries = [
             EntryHost(name=f"entry-{n}", data_centre=dc, host=unique_host())
             for n, dc in enumerate(layout, 1)
         ]
         self.running: dict[str, Started] = {}
+        self.running_controls: dict[str, Started] = {}
+
+    def start_control(self, number: int = 1, **extra: object) -> Started:
+        """Start a control replica.
 
-    def start_control(self) -> Started:
-        """Start the control process."""
+        :param extra: settings besides the usual ones.
+        """
+        control = self.controls[number - 1]
         started = self.processes.start_with_settings(
-            "control",
+            control.name,
             "control",
             {
-                "name": "control-1",
-                "data_centre": self.entries[0].data_centre,
-                "host": self.control_host,
+                "name": control.name,
+                "data_centre": control.data_centre,
+                "host": control.host,
                 "port": CONTROL_PORT,
                 "operator_port": OPERATOR_PORT,
                 "metrics_port": METRICS_PORT,
-                "data_folder": str(self.folder / "data"),
+                "data_folder": str(self.data_folder(number)),
                 "key_file": str(self.key_file),
                 "operator_key_file": str(self.key_file),
+                "replicas": self.replicas(),
+                **extra,
             },
         )
+        self.running_controls[control.name] = started
         self.wait_started(started)
         return started
 
+    def data_folder(self, number: int) -> Path:
+        """Return the data folder of a control replica."""
+        return self.folder / f"data-{number}"
+
+    def replicas(self) -> list[dict[str, object]]:
+        """Return the settings of the control replicas as peers."""
+        return [
+            self.peer(c.name, c.data_centre, c.host, CONTROL_PORT)
+            for c in self.controls
+        ]
+
     def start_entry(self, entry: EntryHost) -> Started:
         """Start one entry."""
         settings: dict[str, object] = {
@@ -77,14 +108,7 @@
                 for e in self.entries
                 if e is not entry
             ],
-            "replicas": [
-                self.peer(
-                    "control-1",
-                    self.entries[0].data_centre,
-                    self.control_host,
-                    CONTROL_PORT,
-                )
-            ],
+            "replicas": self.replicas(),
         }
         started = self.processes.start_with_settings(entry.name, "entry", settings)
         self.running[entry.name] = started
@@ -118,11 +142,13 @@
 
     def start_all(self) -> None:
         """Start control and entries and put the Lakeshore configuration in force."""
-        self.start_control()
+        for number in range(1, len(self.controls) + 1):
+            self.start_control(number)
         for entry in self.entries:
             self.start_entry(entry)
         for started in self.running.values():
             self.wait_started(started)
+        self.wait_leader()
         lakeshore = ROOT / "demo" / "lakeshore"
         self.ctl(
             "apply", str(lakeshore / "inventory.toml"), str(lakeshore / "rules.toml")
@@ -133,6 +159,59 @@
                 f"configuration in force on {started.name}",
             )
 
+    def call(
+        self,
+        method: str,
+        target: str,
+        document: object = None,
+        *,
+        number: int = 1,
+        key: str = KEY,
+    ) -> tuple[int, Any]:
+        """Make an operator's call to a control replica.
+
+        :returns: the status and the decoded answer; status 0 where none came.
+        """
+        host = self.controls[number - 1].host
+        connection = http.client.HTTPConnection(host, OPERATOR_PORT, timeout=10)
+        body = b"" if document is None else json.dumps(document).encode()
+        try:
+            headers = {"authorization": f"Bearer {key}"}
+            connection.request(method, target, body=body, headers=headers)
+            answer = connection.getresponse()
+            content = answer.read()
+        except OSError as error:
+            return 0, str(error)
+        finally:
+            connection.close()
+        if answer.status != HTTP_OK:
+            return answer.status, content.decode()
+        return answer.status, json.loads(content)
+
+    def leader(self) -> int:
+        """Return the number of the replica that answers as the leader, 0 if none."""
+        for number, control in enumerate(self.controls, 1):
+            started = self.running_controls.get(control.name)
+            if started is None or started.ended():
+                continue
+            status, answer = self.call("GET", "/v1/members", number=number)
+            if status == HTTP_OK and answer["leader"] == control.name:
+                fresh, _ = self.call("GET", "/v1/configuration", number=number)
+                if fresh == HTTP_OK:
+                    return number
+        return 0
+
+    def wait_leader(self, other_than: int = 0) -> int:
+        """Wait for a leader and return its number."""
+        found: list[int] = []
+
+        def leads() -> bool:
+            found.append(self.leader())
+            return found[-1] not in (0, other_than)
+
+        wait_until(leads, "a control replica leads")
+        return found[-1]
+
     def wait_registered(self, service: str, count: int) -> None:
         """Wait until every entry knows that many upstreams of a service."""
         for name, started in self.running.items():
--- a/testing/support/replica_faults.py
+++ b/testing/support/replica_faults.py
@@ -50,10 +50,12 @@
     :param size: how many replicas there are.
     """
 
-    def __init__(self, *, size: int, seed: int, syncs: bool = True) -> None:
+    def __init__(
+        self, *, size: int, seed: int, syncs: bool = True, checks: bool = True
+    ) -> None:
         self.rng = Random(seed)
         names = [f"replica-{number}" for number in range(size)]
-        self.cell = ReplicaCell(names=names, seed=seed, syncs=syncs)
+        self.cell = ReplicaCell(names=names, seed=seed, syncs=syncs, checks=checks)
         self.changes: list[Change] = []
         self.cell.advance(FORM_SECONDS)
 
