--- a/src/chervilstage/coordination/configuration.py
+++ b/src/chervilstage/coordination/configuration.py
@@ -7,6 +7,7 @@
 from ..errors import ChervilstageError
 from ..errors.configuration import ChangeInvalidError, RevisionConflictError
 from ..state.configuration import Change, ChangeOutcome, Configuration
+from .references import reference_problems
 
 
 class ConfigurationState(NamedTuple):
@@ -30,7 +31,9 @@
     try:
         _check_base(state, change)
         after = _changed(before, change)
-        _check_references(after)
+        problems = reference_problems(after)
+        if problems:
+            raise ChangeInvalidError(problems=problems)
     except ChervilstageError as error:
         after = before
         outcome = _outcome(change, before, after, error.code, str(error))
@@ -72,26 +75,3 @@
         rules=change.rules or before.rules,
         out=before.out if change.out is None else change.out,
     )
-
-
-def _check_references(configuration: Configuration) -> None:
-    inventory = configuration.inventory
-    data_centres = {d.name for d in inventory.data_centres}
-    services = {s.name for s in inventory.services}
-    problems = [
-        f"service {s.name} names the unknown data centre {name}"
-        for s in inventory.services
-        for name in s.data_centres
-        if name not in data_centres
-    ]
-    problems += [
-        f"rules name the unknown service {r.service}"
-        for r in configuration.rules.services
-        if r.service not in services
-    ]
-    problems += [
-        f"the unknown data centre {name} cannot be out of service"
-        for name in sorted(configuration.out - data_centres)
-    ]
-    if problems:
-        raise ChangeInvalidError(problems="; ".join(problems))
--- a/src/chervilstage/errors/base.py
+++ b/src/chervilstage/errors/base.py
@@ -20,7 +20,14 @@
 
     def __init__(self, **fields: object) -> None:
         self.fields = fields
-        super().__init__(self.template.format_map(fields))
+        shown = {name: _shown(value) for name, value in fields.items()}
+        super().__init__(self.template.format_map(shown))
+
+
+def _shown(value: object) -> object:
+    if isinstance(value, (list, tuple)):
+        return "; ".join(str(item) for item in value)
+    return value
 
 
 def error_types() -> list[type[ChervilstageError]]:
--- a/src/chervilstage/errors/settings.py
+++ b/src/chervilstage/errors/settings.py
@@ -25,6 +25,10 @@
     code = "CS-SETTINGS-003"
     template = "{file}: {problems}"
 
+    def __init__(self, *, file: str, problems: list[str]) -> None:
+        super().__init__(file=file, problems=problems)
+        self.problems = problems
+
 
 class KeyFileError(ChervilstageError):
     """A key file is empty or too short."""
--- a/src/chervilstage/protocol/announcement.py
+++ b/src/chervilstage/protocol/announcement.py
@@ -44,7 +44,7 @@
     try:
         body: AnnouncementDocument = validate_json(ANNOUNCEMENT, data, "announcement")
     except DocumentError as error:
-        raise AnnouncementError(reason=error.fields["problems"]) from error
+        raise AnnouncementError(reason=error.problems) from error
     host = str(body["host"])
     return UpstreamRecord(
         identity=UpstreamId(
--- a/src/chervilstage/protocol/documents.py
+++ b/src/chervilstage/protocol/documents.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Iterable
 from pathlib import Path
 from typing import Annotated, Any, NotRequired
 
@@ -20,7 +18,7 @@
     Service,
     ServiceRules,
 )
-from .validation import read_toml, validate, validate_json
+from .validation import read_toml, repeated, validate, validate_json
 
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Port = Annotated[int, Field(ge=1, le=65535)]
@@ -102,15 +100,12 @@
     :param source: the file name for error messages.
     :raises DocumentError: the document breaks its schema or repeats a name.
     """
-    checked: InventoryDocument = validate(INVENTORY, document, source)
+    problems = _repeated_values(document, "data_centres", "name")
+    for field in ("name", "udp_port", "tcp_port"):
+        problems += _repeated_values(document, "services", field)
+    checked: InventoryDocument = _checked(INVENTORY, document, source, problems)
     data_centres = tuple(DataCentre(**item) for item in checked["data_centres"])
     services = tuple(_service(item) for item in checked["services"])
-    problems = _repeated("data_centres", (d.name for d in data_centres))
-    problems += _repeated("services", (s.name for s in services))
-    problems += _repeated("services.udp_port", (s.udp_port for s in services))
-    problems += _repeated("services.tcp_port", (s.tcp_port for s in services))
-    if problems:
-        raise DocumentError(file=source, problems="; ".join(problems))
     return Inventory(data_centres=data_centres, services=services)
 
 
@@ -119,11 +114,9 @@
 
     :raises DocumentError: the document breaks its schema or repeats a name.
     """
-    checked: RulesDocument = validate(RULES, document, source)
+    problems = _repeated_values(document, "services", "service")
+    checked: RulesDocument = _checked(RULES, document, source, problems)
     services = tuple(_service_rules(item) for item in checked.get("services", ()))
-    problems = _repeated("services", (s.service for s in services))
-    if problems:
-        raise DocumentError(file=source, problems="; ".join(problems))
     return Rules(services=services), frozenset(checked.get("out", ()))
 
 
@@ -213,9 +206,24 @@
     return ServiceRules(**fields)
 
 
-def _repeated(key: str, names: Iterable[str | int]) -> list[str]:
-    return [
-        f"{key}: {name} appears {count} times"
-        for name, count in Counter(names).items()
-        if count > 1
-    ]
+def _checked(
+    adapter: TypeAdapter[Any], document: Any, source: str, problems: list[str]
+) -> Any:
+    """Check a document and report the given problems with those of its schema."""
+    try:
+        checked = validate(adapter, document, source)
+    except DocumentError as error:
+        found = [*error.problems, *problems]
+        raise DocumentError(file=source, problems=found) from error
+    if problems:
+        raise DocumentError(file=source, problems=problems)
+    return checked
+
+
+def _repeated_values(document: Any, key: str, field: str) -> list[str]:
+    """Find repeated values of a field, also in a document that breaks its schema."""
+    items = document.get(key) if isinstance(document, dict) else None
+    if not isinstance(items, list):
+        return []
+    values = [item.get(field) for item in items if isinstance(item, dict)]
+    return repeated(f"{key}.{field}", [v for v in values if isinstance(v, str | int)])
--- a/src/chervilstage/protocol/schemas.py
+++ b/src/chervilstage/protocol/schemas.py
@@ -12,7 +12,8 @@
 
 capnp.remove_import_hook()
 
-TRAVERSAL_LIMIT_WORDS = 1024 * 1024
+# Also bounds what a small packed message may unpack to: 32 MiB, twice the largest frame.
+TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
 
 
 @cache
--- a/src/chervilstage/protocol/validation.py
+++ b/src/chervilstage/protocol/validation.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import tomllib
+from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
@@ -29,12 +31,22 @@
 
 def problems_of(error: ValidationError) -> list[str]:
     """Return one ``key: reason`` text for each problem."""
+    return [f"{_key(item['loc'])}: {item['msg']}" for item in error.errors()]
+
+
+def repeated(key: str, names: Iterable[object]) -> list[str]:
+    """Return one ``key: reason`` text for each name that stands more than once."""
     return [
-        f"{'.'.join(str(part) for part in item['loc']) or 'document'}: {item['msg']}"
-        for item in error.errors()
+        f"{key}: {name} appears {count} times"
+        for name, count in Counter(names).items()
+        if count > 1
     ]
 
 
+def _key(location: tuple[int | str, ...]) -> str:
+    return ".".join(str(part) for part in location) or "document"
+
+
 def validate(adapter: TypeAdapter[Any], document: Any, source: str) -> Any:
     """Check a document against a schema.
 
@@ -43,8 +55,7 @@
     try:
         return adapter.validate_python(document, strict=True)
     except ValidationError as error:
-        problems = "; ".join(problems_of(error))
-        raise DocumentError(file=source, problems=problems) from error
+        raise DocumentError(file=source, problems=problems_of(error)) from error
 
 
 def validate_json(adapter: TypeAdapter[Any], data: bytes, source: str) -> Any:
@@ -55,5 +66,4 @@
     try:
         return adapter.validate_json(data, strict=True)
     except ValidationError as error:
-        problems = "; ".join(problems_of(error))
-        raise DocumentError(file=source, problems=problems) from error
+        raise DocumentError(file=source, problems=problems_of(error)) from error
--- /dev/null
+++ b/testing/programs/test_documentation.py
@@ -0,0 +1,64 @@
+"""The reference pages name what the code has, and nothing else."""
+
+from __future__ import annotations
+
+import pkgutil
+import re
+from importlib import import_module
+from pathlib import Path
+
+import pytest
+
+from chervilstage import errors
+from chervilstage.errors import ChervilstageError, error_types
+from chervilstage.protocol import documents, settings
+
+DOCS = Path(__file__).parent.parent.parent / "docs"
+CODE_ROW = re.compile(r"^\| `(CS-[A-Z]+-\d{3})` \| (.+?) \| (yes|no) \|", re.MULTILINE)
+
+for module in pkgutil.iter_modules(errors.__path__):
+    import_module(f"{errors.__name__}.{module.name}")
+
+
+def own_error_types() -> list[type[ChervilstageError]]:
+    """Return the error types of the package."""
+    return [e for e in error_types() if e.__module__.startswith("chervilstage.")]
+
+
+def test_each_code_has_one_error_type() -> None:
+    """Guards against two failures that an operator cannot tell apart."""
+    codes = [error.code for error in own_error_types()]
+    assert len(codes) == len(set(codes)), sorted(codes)
+
+
+def test_codes_page_lists_each_code_and_whether_to_try_again() -> None:
+    """Guards against a page that is older than the code."""
+    page = (DOCS / "codes.md").read_text()
+    listed = {code: again == "yes" for code, _, again in CODE_ROW.findall(page)}
+    assert listed == {e.code: e.retryable for e in own_error_types()}
+
+
+@pytest.mark.parametrize(
+    "schema",
+    [
+        settings.EntrySettings,
+        settings.ControlSettings,
+        settings.PeerSettings,
+        documents.InventoryDocument,
+        documents.DataCentreDocument,
+        documents.ServiceDocument,
+        documents.RulesDocument,
+        documents.ServiceRulesDocument,
+        documents.RequestMatchDocument,
+    ],
+    ids=lambda schema: schema.__name__,
+)
+def test_operators_page_has_each_key_of_a_document(schema: type) -> None:
+    """Guards against a setting that operators cannot find."""
+    page = (DOCS / "operators.md").read_text()
+    title = f"### {schema.__name__}"
+    assert title in page
+    section = page.split(title, 1)[1].split("\n###", 1)[0]
+    assert set(re.findall(r"^\| `(\w+)` \|", section, re.MULTILINE)) == set(
+        schema.__annotations__
+    )
--- /dev/null
+++ b/testing/protocol/test_fuzz_decoders.py
@@ -0,0 +1,68 @@
+"""No input makes a decoder fail with anything but a typed error."""
+
+from __future__ import annotations
+
+import inspect
+import pkgutil
+from collections.abc import Callable
+from importlib import import_module
+from typing import Any
+
+import pytest
+from hypothesis import example, given, strategies as st
+
+from chervilstage import protocol
+from chervilstage.errors import ChervilstageError
+from chervilstage.protocol.envelope import Envelope, decode_envelope, encode_envelope
+
+KEY = b"k" * 32
+
+
+def decoders() -> list[Callable[..., Any]]:
+    """Return every public decoder of bytes in the protocol layer."""
+    found: list[Callable[..., Any]] = []
+    for module_info in pkgutil.iter_modules(protocol.__path__):
+        module = import_module(f"{protocol.__name__}.{module_info.name}")
+        for name, function in inspect.getmembers(module, inspect.isfunction):
+            if name.startswith("decode_") and function.__module__ == module.__name__:
+                found.append(function)
+    return found
+
+
+def decode(decoder: Callable[..., Any], data: bytes) -> None:
+    """Decode and accept only typed errors."""
+    arguments = [KEY] if "key" in inspect.signature(decoder).parameters else []
+    try:
+        decoder(data, *arguments)
+    except ChervilstageError as error:
+        assert error.code
+
+
+@pytest.mark.parametrize("decoder", decoders(), ids=lambda d: d.__name__)
+@given(data=st.one_of(st.binary(max_size=200), st.binary(min_size=200, max_size=4096)))
+@example(data=b"")
+@example(data=b"\x00" * 64)
+@example(data=b"\xff" * 64)
+@example(data=b"\x10\x05\x01\x01\xff\xff\xff\xff\xff\xff\xff\xff\x00")
+@example(data=b"{}")
+@example(data=b'{"revision": 1e400}')
+@example(data=b"[" * 4000)
+def test_decoder_raises_only_typed_errors(
+    decoder: Callable[..., Any], data: bytes
+) -> None:
+    """Guards against a message that ends the process that receives it."""
+    decode(decoder, data)
+
+
+@given(flips=st.lists(st.tuples(st.integers(0, 10_000), st.integers(1, 255))))
+def test_changed_envelope_is_refused(flips: list[tuple[int, int]]) -> None:
+    """Guards against a tag that does not cover the whole message."""
+    data = encode_envelope(Envelope(kind=1, sender="a", body=b"body" * 20), KEY)
+    changed = bytearray(data)
+    for position, mask in flips:
+        changed[position % len(changed)] ^= mask
+    if bytes(changed) == data:
+        return
+    with pytest.raises(ChervilstageError) as caught:
+        decode_envelope(bytes(changed), KEY)
+    assert caught.value.code == "CS-ACCESS-001"
