Give the operators' client differences, JSON, exit codes and several replicas

check reports the problems of both files at once. apply takes the revision that the change was made from and an operation id, so that a lost answer can be followed by the same change again. Replicas are tried in turn.

--- a/src/chervilstage/errors/configuration.py
+++ b/src/chervilstage/errors/configuration.py
@@ -35,3 +35,10 @@
     code = "CS-CONFIG-004"
     template = "no quorum: {reason}; entries go on with revision {revision}"
     retryable = True
+
+
+class OperatorCallError(ChervilstageError):
+    """A control replica refused an operator's call."""
+
+    code = "CS-CONFIG-005"
+    template = "refused with {remote_code} (HTTP {status}): {message}"
--- a/src/chervilstage/programs/ctl.py
+++ b/src/chervilstage/programs/ctl.py
@@ -2,121 +2,249 @@
 
 from __future__ import annotations
 
-import getpass
-import uuid
-from collections.abc import Awaitable, Callable
-from functools import partial
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated
 
-import anyio
 import typer
+from rich.table import Table
 
+from ..coordination.difference import Difference, differences
+from ..coordination.references import reference_problems
 from ..errors import ChervilstageError
-from ..protocol.documents import encode_configuration, read_inventory, read_rules
-from ..state.configuration import Change, Configuration
-from ..state.types import Address
-from ..transport.operator_client import fetch_configuration, submit_change
-from .standin import parse_address
-
-EXIT_REFUSED = 3
-EXIT_ERROR = 1
+from ..errors.settings import DocumentError
+from ..protocol.documents import (
+    inventory_document,
+    read_inventory,
+    read_rules,
+    rules_document,
+)
+from ..state.configuration import Change, Configuration, Inventory, Rules
+from .ctl_session import (
+    EXIT_BAD_INPUT,
+    CaOption,
+    ControlOption,
+    JsonOption,
+    KeyOption,
+    OperationOption,
+    OperatorOption,
+    RevisionOption,
+    call,
+    console,
+    open_session,
+    print_json,
+    submit,
+)
 
-T = TypeVar("T")
 app = typer.Typer(
-    add_completion=False, pretty_exceptions_enable=False, no_args_is_help=True
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    no_args_is_help=True,
+    help="Operate chervilstage. Exit codes: 0 done, 1 failure, 2 bad input, "
+    "3 change refused, 4 revision conflict, 5 no quorum or unreachable, 6 wrong key.",
 )
 
-Control = Annotated[
-    str, typer.Option("--control", envvar="CHERVILSTAGE_CONTROL", help="HOST:PORT")
-]
-KeyFile = Annotated[
-    Path, typer.Option("--key-file", envvar="CHERVILSTAGE_KEY_FILE", help="Bearer key.")
-]
+InventoryArgument = Annotated[Path, typer.Argument(help="Inventory file in TOML.")]
+RulesArgument = Annotated[Path, typer.Argument(help="Rules file in TOML.")]
+DataCentreArgument = Annotated[str, typer.Argument(help="Name of the data centre.")]
 
 
-def run(call: Callable[[], Awaitable[T]]) -> T:
-    """Run one asynchronous call and report typed errors."""
+def read_documents(inventory: Path, rules: Path) -> Configuration:
+    """Read both files, or print the problems of both and exit."""
+    errors: list[ChervilstageError] = []
+    read: Inventory = Inventory()
+    read_rules_part: tuple[Rules, frozenset[str]] = (Rules(), frozenset())
     try:
-        return anyio.run(call)
+        read = read_inventory(inventory)
     except ChervilstageError as error:
+        errors.append(error)
+    try:
+        read_rules_part = read_rules(rules)
+    except ChervilstageError as error:
+        errors.append(error)
+    configuration = Configuration(
+        inventory=read, rules=read_rules_part[0], out=read_rules_part[1]
+    )
+    problems = [] if errors else reference_problems(configuration)
+    if problems:
+        errors.append(DocumentError(file=f"{inventory}, {rules}", problems=problems))
+    for found in errors:
+        print_problems(found)
+    if errors:
+        raise typer.Exit(EXIT_BAD_INPUT)
+    return configuration
+
+
+def print_problems(error: ChervilstageError) -> None:
+    """Print one line for each problem of a document."""
+    if isinstance(error, DocumentError):
+        for problem in error.problems:
+            typer.echo(f"{error.code} {error.fields['file']}: {problem}", err=True)
+    else:
         typer.echo(f"{error.code} {error}", err=True)
-        raise typer.Exit(EXIT_ERROR) from error
 
 
 @app.command()
-def check(inventory: Path, rules: Path) -> None:
+def check(inventory: InventoryArgument, rules: RulesArgument) -> None:
     """Check the inventory and the rules without contacting anything."""
-    try:
-        read_inventory(inventory)
-        read_rules(rules)
-    except ChervilstageError as error:
-        typer.echo(f"{error.code} {error}", err=True)
-        raise typer.Exit(EXIT_ERROR) from error
+    configuration = read_documents(inventory, rules)
+    typer.echo(
+        f"valid: {len(configuration.inventory.data_centres)} data centres, "
+        f"{len(configuration.inventory.services)} services"
+    )
 
 
 @app.command()
-def show(control: Control, key_file: KeyFile) -> None:
-    """Show the newest accepted configuration as JSON."""
-    key = key_file.read_text().strip()
-    configuration = run(partial(fetch_configuration, parse_address(control), key))
-    typer.echo(encode_configuration(configuration).decode())
+def diff(
+    inventory: InventoryArgument,
+    rules: RulesArgument,
+    control: ControlOption,
+    key_file: KeyOption,
+    ca_file: CaOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Show what applying the files would change."""
+    wanted = read_documents(inventory, rules)
+    session = open_session(control, key_file, ca_file, as_json)
+    present = call(session.client.configuration)
+    found = differences(present, wanted)
+    if as_json:
+        print_json(
+            {
+                "revision": present.revision,
+                "differences": [difference._asdict() for difference in found],
+            }
+        )
+        return
+    print_differences(found, f"against revision {present.revision}")
 
 
 @app.command()
-def apply(inventory: Path, rules: Path, control: Control, key_file: KeyFile) -> None:
+def apply(
+    inventory: InventoryArgument,
+    rules: RulesArgument,
+    control: ControlOption,
+    key_file: KeyOption,
+    operator: OperatorOption,
+    ca_file: CaOption = None,
+    from_revision: RevisionOption = None,
+    operation_id: OperationOption = None,
+    as_json: JsonOption = False,
+) -> None:
     """Put an inventory and rules in force."""
-    try:
-        new_inventory = read_inventory(inventory)
-        new_rules, out = read_rules(rules)
-    except ChervilstageError as error:
-        typer.echo(f"{error.code} {error}", err=True)
-        raise typer.Exit(EXIT_ERROR) from error
+    wanted = read_documents(inventory, rules)
+    session = open_session(control, key_file, ca_file, as_json)
+
+    def edit(base: Configuration, change: Change) -> Change:
+        return change._replace(
+            inventory=wanted.inventory, rules=wanted.rules, out=wanted.out
+        )
+
+    submit(
+        session,
+        edit,
+        operator=operator,
+        operation_id=operation_id,
+        from_revision=from_revision,
+    )
 
-    def change(base: Configuration) -> Change:
-        return _change(base)._replace(inventory=new_inventory, rules=new_rules, out=out)
 
-    _submit(parse_address(control), key_file, change)
+@app.command()
+def show(
+    control: ControlOption,
+    key_file: KeyOption,
+    ca_file: CaOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Show the newest accepted configuration."""
+    session = open_session(control, key_file, ca_file, as_json)
+    configuration = call(session.client.configuration)
+    if as_json:
+        print_json(
+            {
+                "revision": configuration.revision,
+                "inventory": inventory_document(configuration.inventory),
+                "rules": rules_document(configuration.rules, configuration.out),
+            }
+        )
+        return
+    print_configuration(configuration)
 
 
 @app.command()
-def out(data_centre: str, control: Control, key_file: KeyFile) -> None:
-    """Take a data centre out of service."""
-    _submit(
-        parse_address(control),
-        key_file,
-        lambda base: _change(base)._replace(out=base.out | {data_centre}),
+def out(
+    data_centre: DataCentreArgument,
+    control: ControlOption,
+    key_file: KeyOption,
+    operator: OperatorOption,
+    ca_file: CaOption = None,
+    operation_id: OperationOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Take a data centre out of service; its flows end."""
+    session = open_session(control, key_file, ca_file, as_json)
+    submit(
+        session,
+        lambda base, change: change._replace(out=base.out | {data_centre}),
+        operator=operator,
+        operation_id=operation_id,
     )
 
 
 @app.command()
-def back(data_centre: str, control: Control, key_file: KeyFile) -> None:
+def back(
+    data_centre: DataCentreArgument,
+    control: ControlOption,
+    key_file: KeyOption,
+    operator: OperatorOption,
+    ca_file: CaOption = None,
+    operation_id: OperationOption = None,
+    as_json: JsonOption = False,
+) -> None:
     """Bring a data centre back into service."""
-    _submit(
-        parse_address(control),
-        key_file,
-        lambda base: _change(base)._replace(out=base.out - {data_centre}),
-    )
-
-
-def _change(base: Configuration) -> Change:
-    return Change(
-        operation_id=str(uuid.uuid4()),
-        operator=getpass.getuser(),
-        base_revision=base.revision,
+    session = open_session(control, key_file, ca_file, as_json)
+    submit(
+        session,
+        lambda base, change: change._replace(out=base.out - {data_centre}),
+        operator=operator,
+        operation_id=operation_id,
     )
 
 
-def _submit(
-    control: Address, key_file: Path, change: Callable[[Configuration], Change]
-) -> None:
-    key = key_file.read_text().strip()
-    base = run(partial(fetch_configuration, control, key))
-    outcome = run(partial(submit_change, control, key, change(base)))
-    if outcome.code:
-        typer.echo(f"{outcome.code} {outcome.message}", err=True)
-        raise typer.Exit(EXIT_REFUSED)
-    typer.echo(f"accepted as revision {outcome.revision_after}")
+def print_differences(found: list[Difference], title: str) -> None:
+    """Print differences as a table."""
+    if not found:
+        typer.echo(f"no difference {title}")
+        return
+    table = Table(title=f"{len(found)} differences {title}")
+    for column in ("key", "before", "after"):
+        table.add_column(column)
+    for difference in found:
+        table.add_row(*difference)
+    console().print(table)
+
+
+def print_configuration(configuration: Configuration) -> None:
+    """Print a configuration as tables."""
+    centres = Table(title=f"data centres, revision {configuration.revision}")
+    for column in ("data centre", "region", "service"):
+        centres.add_column(column)
+    for data_centre in configuration.inventory.data_centres:
+        state = "out" if data_centre.name in configuration.out else "in"
+        centres.add_row(data_centre.name, data_centre.region, state)
+    services = Table(title="services")
+    for column in ("service", "data centres", "UDP", "TCP", "slots", "retry budget"):
+        services.add_column(column)
+    for service in configuration.inventory.services:
+        rules = configuration.service_rules(service.name)
+        services.add_row(
+            service.name,
+            ", ".join(service.data_centres),
+            str(service.udp_port),
+            str(service.tcp_port),
+            str(service.slots),
+            f"{rules.retry_budget:g}",
+        )
+    console().print(centres, services)
 
 
 if __name__ == "__main__":
--- a/src/chervilstage/programs/standin.py
+++ b/src/chervilstage/programs/standin.py
@@ -7,22 +7,14 @@
 
 import typer
 
-from ..state.types import Address
 from ..transport.application import Application
 from ..transport.standin_server import StandinServer
+from .addresses import parse_address
 from .running import run_daemon
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
-def parse_address(text: str) -> Address:
-    """Parse ``HOST:PORT``."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise typer.BadParameter(f"{text!r} is not HOST:PORT")
-    return Address(host=host, port=int(port))
-
-
 @app.command()
 def main(
     host: Annotated[str, typer.Option(help="Address to listen on.")],
--- a/src/chervilstage/protocol/schemas.py
+++ b/src/chervilstage/protocol/schemas.py
@@ -12,7 +12,7 @@
 
 capnp.remove_import_hook()
 
-# Also bounds what a small packed message may unpack to: 32 MiB, twice the largest frame.
+# Also bounds what a small packed message may unpack to: 32 MiB, twice a frame.
 TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
 
 
--- a/src/chervilstage/protocol/settings.py
+++ b/src/chervilstage/protocol/settings.py
@@ -8,14 +8,11 @@
 from pydantic import ConfigDict, Field, StringConstraints, TypeAdapter, with_config
 from typing_extensions import TypedDict
 
-from ..errors.settings import FileUnreadableError, KeyFileError
 from ..state.types import Address, Peer
 from .documents import Name, Port
+from .key_file import read_key_file
 from .validation import read_toml, validate
 
-MINIMUM_KEY_BYTES = 16
-MAXIMUM_KEY_BYTES = 64
-
 Host = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
 LogLevel = Literal["debug", "info", "warning", "error"]
 STRICT = ConfigDict(extra="forbid")
@@ -103,14 +100,7 @@
     :raises FileUnreadableError: the file cannot be read.
     :raises KeyFileError: the key is too short.
     """
-    path = settings_path.parent / name
-    try:
-        key = path.read_bytes().strip()
-    except OSError as error:
-        raise FileUnreadableError(file=path, reason=error) from error
-    if len(key) < MINIMUM_KEY_BYTES:
-        raise KeyFileError(file=path, minimum=MINIMUM_KEY_BYTES)
-    return key[:MAXIMUM_KEY_BYTES]
+    return read_key_file(settings_path.parent / name)
 
 
 def peers_of(settings: list[PeerSettings]) -> list[Peer]:
--- a/src/chervilstage/transport/http_client.py
+++ b/src/chervilstage/transport/http_client.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Mapping
 
 import anyio
 import h11
+from anyio.abc import ByteStream
 
 from ..errors import ChervilstageError
 from ..errors.access import PeerUnreachableError
@@ -23,15 +25,17 @@
     body: bytes = b"",
     headers: Mapping[str, str] | None = None,
     timeout: float = 5.0,
+    tls: ssl.SSLContext | None = None,
 ) -> HttpResponse:
     """Send one request over a new connection and return the whole answer.
 
     :param timeout: seconds.
+    :param tls: the context for TLS, or ``None`` for plain TCP.
     :raises PeerUnreachableError: no whole answer came in time.
     """
     try:
         with anyio.fail_after(timeout):
-            async with await anyio.connect_tcp(*address) as stream:
+            async with await _connect(address, tls) as stream:
                 connection = HttpConnection(stream=stream, role=h11.CLIENT)
                 return await exchange(
                     connection, method, target, address, body, headers or {}
@@ -49,6 +53,14 @@
         ) from error
 
 
+async def _connect(address: Address, tls: ssl.SSLContext | None) -> ByteStream:
+    if tls is None:
+        return await anyio.connect_tcp(*address)
+    return await anyio.connect_tcp(
+        address.host, address.port, ssl_context=tls, tls_standard_compatible=False
+    )
+
+
 async def exchange(
     connection: HttpConnection,
     method: str,
--- a/src/chervilstage/transport/operator_client.py
+++ b/src/chervilstage/transport/operator_client.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-from ..errors.access import OperatorKeyError
-from ..errors.configuration import ChangeInvalidError
+import ssl
+from collections.abc import Sequence
+
+from ..errors import ChervilstageError
+from ..errors.access import OperatorKeyError, PeerUnreachableError
+from ..errors.configuration import NoQuorumError, OperatorCallError
 from ..protocol.changes import decode_outcome, encode_change
 from ..protocol.documents import decode_configuration
 from ..state.configuration import Change, ChangeOutcome, Configuration
@@ -11,35 +15,79 @@
 from .http_client import http_request
 from .http_connection import HttpResponse
 
+CALL_SECONDS = 10.0
+
+
+class OperatorClient:
+    """Calls the first control replica that answers.
+
+    A change may be sent to several replicas in turn, since its operation id makes a
+    resend get the first result.
+
+    :param replicas: the operators' endpoints, tried in order.
+    :param key: the bearer key.
+    :param tls: the context that checks the certificates of the replicas, if any.
+    """
+
+    def __init__(
+        self,
+        *,
+        replicas: Sequence[Address],
+        key: bytes,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.replicas = replicas
+        self.authorization = f"Bearer {key.decode('latin-1')}"
+        self.tls = tls
 
-async def fetch_configuration(control: Address, key: str) -> Configuration:
-    """Return the newest accepted configuration."""
-    answer = await http_request(
-        control, "GET", "/v1/configuration", headers=_authorization(key)
-    )
-    _check(answer)
-    return decode_configuration(answer.body)
+    async def configuration(self) -> Configuration:
+        """Return the newest accepted configuration."""
+        return decode_configuration(await self.call("GET", "/v1/configuration"))
 
+    async def submit(self, change: Change) -> ChangeOutcome:
+        """Submit a change and return its outcome."""
+        body = await self.call("POST", "/v1/changes", encode_change(change))
+        return decode_outcome(body)
 
-async def submit_change(control: Address, key: str, change: Change) -> ChangeOutcome:
-    """Submit a change and return its outcome."""
-    answer = await http_request(
-        control,
-        "POST",
-        "/v1/changes",
-        body=encode_change(change),
-        headers=_authorization(key),
-    )
-    _check(answer)
-    return decode_outcome(answer.body)
+    async def call(self, method: str, target: str, body: bytes = b"") -> bytes:
+        """Call the replicas in turn and return the body of the first answer.
 
+        :raises OperatorKeyError: the key is wrong.
+        :raises OperatorCallError: a replica refused the call.
+        :raises NoQuorumError: the replicas that answer form no majority.
+        :raises PeerUnreachableError: no replica answers.
+        """
+        failure: ChervilstageError | None = None
+        for replica in self.replicas:
+            try:
+                return await self.call_one(replica, method, target, body)
+            except (PeerUnreachableError, NoQuorumError) as error:
+                failure = error
+        raise failure or PeerUnreachableError(address="-", reason="no replica named")
 
-def _authorization(key: str) -> dict[str, str]:
-    return {"authorization": f"Bearer {key}"}
+    async def call_one(
+        self, replica: Address, method: str, target: str, body: bytes
+    ) -> bytes:
+        """Call one replica and return the body of its answer."""
+        answer = await http_request(
+            replica,
+            method,
+            target,
+            body=body,
+            headers={"authorization": self.authorization},
+            timeout=CALL_SECONDS,
+            tls=self.tls,
+        )
+        return _checked(answer)
 
 
-def _check(answer: HttpResponse) -> None:
-    if answer.status == 401:
+def _checked(answer: HttpResponse) -> bytes:
+    if answer.status == 200:
+        return answer.body
+    code = answer.headers.get("chervilstage-code", "")
+    message = answer.body.decode(errors="replace").strip().removeprefix(f"{code} ")
+    if code == OperatorKeyError.code:
         raise OperatorKeyError()
-    if answer.status != 200:
-        raise ChangeInvalidError(problems=answer.body.decode().strip())
+    if code == NoQuorumError.code:
+        raise NoQuorumError(reason=message, revision="the one they have")
+    raise OperatorCallError(status=answer.status, remote_code=code, message=message)
