--- a/src/chervilstage/programs/ctl.py
+++ b/src/chervilstage/programs/ctl.py
@@ -8,7 +8,7 @@
 import typer
 from rich.table import Table
 
-from ..coordination.difference import Difference, differences
+from ..coordination.key_differences import Difference, differences
 from ..coordination.references import reference_problems
 from ..errors import ChervilstageError
 from ..errors.settings import DocumentError
--- a/testing/coordination/test_difference.py
+++ b/testing/coordination/test_key_differences.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from chervilstage.coordination.difference import describe, differences
+from chervilstage.coordination.key_differences import describe, differences
 from chervilstage.state.configuration import (
     Configuration,
     DataCentre,
