Extend the stand-in upstream with faults, cold start and a control port

The decisions (admission, ramp, packets, reports) are pure functions in coordination/standin.py; the HTTP side, the control port and the composition are modules of their own. Datagrams of the load tool name their service, so a packet of another service is counted and not answered; other payloads get the same answer as before.

Ruled out: counting a request as done before its answer is sent, which let a planned stop cut the last answer; the drain now waits for whole answers.

--- /dev/null
+++ b/src/chervilstage/coordination/standin.py
@@ -0,0 +1,221 @@
+"""The decisions of a stand-in upstream."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from random import Random
+from typing import NamedTuple
+
+from ..state.standin import FlowSeen, StandinState
+from ..state.types import Address
+
+LOAD_HISTORY = 64
+MAXIMUM_NAMED_RUNS = 1_000_000
+
+
+class Refusal(StrEnum):
+    """Why a stand-in did not start a request."""
+
+    EXPIRED = "expired"
+    BUSY = "busy"
+    SHEDDING = "shedding"
+
+
+class Arrival(NamedTuple):
+    """A request whose body has arrived whole.
+
+    ``deadline`` is the time from which the work may not start. ``service`` is the
+    service that the load tool named, empty where it named none.
+    """
+
+    deadline: float
+    key: str = ""
+    attempt: str = ""
+    service: str = ""
+
+
+class PacketKind(StrEnum):
+    """What becomes of a datagram."""
+
+    ANSWER = "answer"
+    FOREIGN = "foreign"
+    SILENT = "silent"
+
+
+class ConnectionKind(StrEnum):
+    """How a new connection is served."""
+
+    SERVE = "serve"
+    SILENT = "silent"
+
+
+def admit(
+    state: StandinState, arrival: Arrival, service: str, now: float, rng: Random
+) -> Refusal | None:
+    """Start a request, or say why it does not start.
+
+    A refused request leaves no trace of a run.
+
+    :param service: the service of this stand-in.
+    """
+    state.count(requests=1)
+    state.last_request_at = now
+    if arrival.service not in ("", service):
+        state.count(foreign_requests=1)
+    if now >= arrival.deadline:
+        state.count(expired=1)
+        return Refusal.EXPIRED
+    if state.in_flight >= state.capacity:
+        _count_excess(state)
+        state.count(shed=1)
+        return Refusal.BUSY
+    if rng.random() < state.faults.shed_share:
+        state.count(shed=1)
+        return Refusal.SHEDDING
+    _start(state, arrival, now)
+    return None
+
+
+def finish(state: StandinState, *, completed: bool) -> None:
+    """Give the slot of a request back and widen the capacity after successes."""
+    state.in_flight -= 1
+    if not completed:
+        state.count(cancelled=1)
+        return
+    state.count(completed=1)
+    if not is_cold(state):
+        return
+    state.successes += 1
+    if state.successes >= state.warm_successes:
+        state.successes = 0
+        state.capacity = min(state.slots, state.capacity * 2)
+
+
+def is_cold(state: StandinState) -> bool:
+    """Tell whether the capacity is below the number of slots."""
+    return state.capacity < state.slots
+
+
+def turn_cold(state: StandinState) -> None:
+    """Fall back to the capacity of a fresh start, without announcing it."""
+    state.capacity = 1
+    state.successes = 0
+
+
+def work_factor(state: StandinState) -> float:
+    """Return how much longer work takes now than on a warm stand-in."""
+    return state.slots / state.capacity
+
+
+def begin_leaving(state: StandinState, now: float) -> None:
+    """Start to leave; the first call counts."""
+    if not state.leaving:
+        state.leaving = True
+        state.leaving_at = now
+
+
+def take_connection(state: StandinState) -> ConnectionKind:
+    """Decide how a new connection is served."""
+    if state.faults.silent_next <= 0:
+        return ConnectionKind.SERVE
+    left = state.faults.silent_next - 1
+    state.faults = state.faults._replace(silent_next=left)
+    return ConnectionKind.SILENT
+
+
+def take_packet(
+    state: StandinState,
+    *,
+    caller: Address,
+    entry: Address,
+    header: bytes,
+    mark: str,
+    service: str,
+    now: float,
+) -> PacketKind:
+    """Count a datagram and decide whether it is answered.
+
+    :param entry: where the datagram came from.
+    :param mark: the service that the datagram names, empty where it names none.
+    :param service: the service of this stand-in.
+    """
+    state.count(packets=1)
+    state.last_packet_at = now
+    if mark not in ("", service):
+        state.count(foreign_packets=1)
+        return PacketKind.FOREIGN
+    before = state.flows.get(caller)
+    if before is None:
+        state.count(flows=1)
+        _count_new_flow(state, now)
+        before = FlowSeen(seen=0, entry=entry, header=header, last_at=now)
+    state.flows[caller] = before._replace(
+        seen=before.seen + 1, entry=entry, header=header, last_at=now
+    )
+    return PacketKind.SILENT if state.faults.silent_packets else PacketKind.ANSWER
+
+
+def subscribe(state: StandinState, caller: Address, feed: str) -> None:
+    """Push updates of a feed to a caller from now on; an empty name ends that."""
+    state.flows[caller] = state.flows[caller]._replace(subscription=feed)
+
+
+def next_updates(state: StandinState) -> list[tuple[Address, FlowSeen]]:
+    """Return the subscribed flows, each with the number of its next update."""
+    if state.faults.silent_packets:
+        return []
+    due = []
+    for caller, flow in state.flows.items():
+        if flow.subscription:
+            due.append((caller, flow._replace(updates=flow.updates + 1)))
+    state.flows.update(due)
+    state.count(updates=len(due))
+    return due
+
+
+def reported_load(state: StandinState) -> int:
+    """Return the load for the next announcement, which may lag or be untrue."""
+    state.load_history = [*state.load_history[-LOAD_HISTORY + 1 :], state.in_flight]
+    if state.faults.reported_load >= 0:
+        return state.faults.reported_load
+    age = min(state.faults.report_lag, len(state.load_history) - 1)
+    return state.load_history[-1 - age]
+
+
+def reports_healthy(state: StandinState) -> bool:
+    """Return what the health report says, which may be untrue."""
+    if state.faults.reported_health:
+        return state.faults.reported_health == "ready"
+    return not state.leaving
+
+
+def has_active_flows(state: StandinState, now: float, idle_seconds: float) -> bool:
+    """Tell whether a flow was used within the idle time or a feed is open."""
+    recent = now - state.last_packet_at <= idle_seconds
+    return state.open_feeds > 0 or (bool(state.flows) and recent)
+
+
+def _start(state: StandinState, arrival: Arrival, now: float) -> None:
+    state.in_flight += 1
+    state.most_in_flight = max(state.most_in_flight, state.in_flight)
+    state.count(started=1)
+    if state.leaving:
+        state.count(new_requests_leaving=1)
+        state.last_new_work_at = now
+    if arrival.key and len(state.runs) < MAXIMUM_NAMED_RUNS:
+        state.runs[arrival.key] += 1
+    if arrival.attempt and len(state.attempt_runs) < MAXIMUM_NAMED_RUNS:
+        state.attempt_runs[arrival.attempt] += 1
+
+
+def _count_new_flow(state: StandinState, now: float) -> None:
+    if state.leaving:
+        state.count(new_flows_leaving=1)
+        state.last_new_work_at = now
+
+
+def _count_excess(state: StandinState) -> None:
+    if is_cold(state):
+        state.count(over_capacity_cold=1)
+    else:
+        state.count(over_capacity_warm=1)
--- a/src/chervilstage/programs/standin.py
+++ b/src/chervilstage/programs/standin.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import time
+from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from ..state.standin import StandinState
 from ..state.types import Address
 from ..transport.application import Application
 from ..transport.standin_server import StandinServer
@@ -33,6 +35,21 @@
     ],
     slots: Annotated[int, typer.Option(help="Requests run at once.")] = 4,
     work_ms: Annotated[float, typer.Option(help="Duration of a request.")] = 5.0,
+    cold: Annotated[
+        bool, typer.Option(help="Start at a capacity of one request.")
+    ] = False,
+    warm_successes: Annotated[
+        int, typer.Option(help="Successes before the capacity doubles.")
+    ] = 5,
+    control_port: Annotated[
+        int, typer.Option(help="Port for fault commands and counters; 0 for none.")
+    ] = 0,
+    linger_seconds: Annotated[
+        float, typer.Option(help="How long a stop waits for flows and feeds.")
+    ] = 0.0,
+    counters_file: Annotated[
+        Path | None, typer.Option(help="Where the counters go at the end.")
+    ] = None,
 ) -> None:
     """Run a stand-in upstream that announces itself to the entries."""
     entries = [parse_address(text) for text in entry]
@@ -44,9 +61,12 @@
             service=service,
             data_centre=data_centre,
             incarnation=time.time_ns() // 1_000_000,
-            slots=slots,
+            state=StandinState(slots=slots, cold=cold, warm_successes=warm_successes),
             work_seconds=work_ms / 1000,
             entries=entries,
+            control_port=control_port,
+            linger_seconds=linger_seconds,
+            counters_file=counters_file,
         )
         application.add(server.hooks())
         return application
--- a/src/chervilstage/state/standin.py
+++ b/src/chervilstage/state/standin.py
@@ -3,36 +3,119 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import NamedTuple
 
 from .types import Address
 
 
+class Faults(NamedTuple):
+    """How a stand-in misbehaves at present.
+
+    ``shed_share`` is the share of requests refused although there is a free slot.
+    ``late_ms`` delays each answer. ``crossed`` swaps the answers of two requests.
+    ``repeated`` sends each answer twice on its connection. ``silent_next`` is the
+    number of connections to accept and never answer. ``silent_packets`` drops all
+    datagrams. ``reported_load`` replaces the load in announcements and
+    ``report_lag`` is how many announcements old that load is. ``reported_health`` is
+    ``ready`` or ``failing`` for a health report that is not true, else empty.
+    ``announcing`` is false where the stand-in has stopped announcing itself.
+    """
+
+    shed_share: float = 0.0
+    late_ms: float = 0.0
+    crossed: bool = False
+    repeated: bool = False
+    silent_next: int = 0
+    silent_packets: bool = False
+    reported_load: int = -1
+    report_lag: int = 0
+    reported_health: str = ""
+    announcing: bool = True
+
+
+class FlowSeen(NamedTuple):
+    """What a stand-in knows of one flow.
+
+    ``entry`` relayed the last packet. ``header`` is the header of that packet.
+    ``subscription`` names the feed that the caller has asked for, empty if none, and
+    ``updates`` is how many updates were pushed.
+    """
+
+    seen: int
+    entry: Address
+    header: bytes
+    last_at: float
+    subscription: str = ""
+    updates: int = 0
+
+
+class StandinCounts(NamedTuple):
+    """The counts of a stand-in.
+
+    ``over_capacity_cold`` counts requests over the present capacity while it was below
+    the number of slots; ``over_capacity_warm`` counts those over the slots.
+    """
+
+    requests: int = 0
+    started: int = 0
+    completed: int = 0
+    shed: int = 0
+    expired: int = 0
+    cancelled: int = 0
+    over_capacity_cold: int = 0
+    over_capacity_warm: int = 0
+    uploads_cut: int = 0
+    foreign_requests: int = 0
+    packets: int = 0
+    foreign_packets: int = 0
+    flows: int = 0
+    new_flows_leaving: int = 0
+    new_requests_leaving: int = 0
+    updates: int = 0
+    feeds: int = 0
+    feeds_cut: int = 0
+
+
 class StandinState:
     """What a stand-in upstream has seen and done.
 
-    ``runs`` counts how often the work of each idempotency key was run.
+    ``runs`` counts how often the work of each idempotency key was run, and
+    ``attempt_runs`` the same for each attempt that the load tool named. ``ending`` says
+    that open feeds end now. Times are seconds of the clock that the decisions are
+    given; 0 where nothing happened.
 
-    :param slots: how many requests it runs at once.
+    :param slots: how many requests it runs at once when warm.
+    :param cold: whether it starts cold.
+    :param warm_successes: successes at one capacity before it doubles.
     """
 
-    def __init__(self, *, slots: int) -> None:
+    def __init__(
+        self, *, slots: int, cold: bool = False, warm_successes: int = 5
+    ) -> None:
         self.slots = slots
+        self.warm_successes = warm_successes
+        self.capacity = 1 if cold else slots
+        self.successes = 0
         self.in_flight = 0
         self.most_in_flight = 0
+        self.open_feeds = 0
         self.leaving = False
+        self.ending = False
+        self.leaving_at = 0.0
+        self.last_new_work_at = 0.0
+        self.last_packet_at = 0.0
+        self.last_request_at = 0.0
         self.sequence = 0
+        self.faults = Faults()
+        self.counts = StandinCounts()
         self.runs: Counter[str] = Counter()
-        self.flows: dict[Address, int] = {}
-        self.foreign_packets = 0
-
-    def begin(self) -> bool:
-        """Take a slot and tell whether there was one."""
-        if self.in_flight >= self.slots:
-            return False
-        self.in_flight += 1
-        self.most_in_flight = max(self.most_in_flight, self.in_flight)
-        return True
-
-    def end(self) -> None:
-        """Give a slot back."""
-        self.in_flight -= 1
+        self.attempt_runs: Counter[str] = Counter()
+        self.flows: dict[Address, FlowSeen] = {}
+        self.load_history: list[int] = []
+
+    def count(self, **increments: int) -> None:
+        """Add to counts by name."""
+        present = self.counts._asdict()
+        self.counts = self.counts._replace(
+            **{name: present[name] + more for name, more in increments.items()}
+        )
--- a/src/chervilstage/transport/standin_server.py
+++ b/src/chervilstage/transport/standin_server.py
@@ -2,20 +2,33 @@
 
 from __future__ import annotations
 
-import hashlib
-import json
 import socket
+import time
 from collections.abc import Sequence
 from contextlib import suppress
+from pathlib import Path
+from random import Random
 
 import anyio
-import h11
-from anyio.abc import ByteStream, SocketAttribute, TaskGroup
+from anyio.abc import SocketAttribute, TaskGroup
 
+from ..coordination.standin import (
+    PacketKind,
+    begin_leaving,
+    has_active_flows,
+    next_updates,
+    reported_load,
+    subscribe,
+    take_packet,
+)
 from ..errors import ChervilstageError
+from ..errors.load import LoadPacketError
 from ..errors.requests import MalformedDatagramError
 from ..protocol.announcement import encode_announcement
-from ..protocol.proxy_header import HEADER_BYTES, decode_datagram
+from ..protocol.load_packets import decode_packet, encode_answer, encode_update
+from ..protocol.proxy_header import HEADER_BYTES, ProxiedDatagram, decode_datagram
+from ..protocol.standin_control import encode_report
+from ..state.load_packets import CallerPacket, FeedUpdate, UpstreamName
 from ..state.standin import StandinState
 from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
 from .application import Hooks
@@ -27,11 +40,13 @@
 )
 from .event_log import log_event
 from .http_client import http_request
-from .http_connection import HttpConnection, HttpResponse, header_map
-from .http_server import send_response
+from .standin_control import StandinControl, start_control
+from .standin_requests import StandinRequests
 
 ANNOUNCE_SECONDS = 1.0
-MAXIMUM_UPLOAD_BYTES = 64 * 1024 * 1024
+UPDATE_SECONDS = 0.5
+DRAIN_POLL_SECONDS = 0.05
+FLOW_IDLE_SECONDS = 2.0
 
 
 class StandinServer:
@@ -39,6 +54,9 @@
 
     :param entries: the announcement addresses of entries, tried in turn.
     :param work_seconds: how long one request takes.
+    :param control_port: where commands are taken, 0 for none.
+    :param linger_seconds: how long a planned stop waits for flows and feeds.
+    :param counters_file: where the counters go at the end.
     """
 
     def __init__(
@@ -48,100 +66,88 @@
         service: str,
         data_centre: str,
         incarnation: int,
-        slots: int,
+        state: StandinState,
         work_seconds: float,
         entries: Sequence[Address],
+        control_port: int = 0,
+        linger_seconds: float = 0.0,
+        counters_file: Path | None = None,
     ) -> None:
-        self.service = service
-        self.data_centre = data_centre
-        self.incarnation = incarnation
-        self.work_seconds = work_seconds
         self.entries = entries
-        self.state = StandinState(slots=slots)
-        self.idle = anyio.Event()
+        self.control_port = control_port
+        self.linger_seconds = linger_seconds
+        self.counters_file = counters_file
+        self.state = state
         self.datagrams: socket.socket = open_datagram_socket(host, 0)
         self.address = bound_address(self.datagrams)
+        self.name = UpstreamName(
+            service=service,
+            address=f"{host}:{self.address.port}",
+            incarnation=incarnation,
+            data_centre=data_centre,
+        )
+        self.requests = StandinRequests(
+            name=self.name,
+            state=state,
+            work_seconds=work_seconds,
+            rng=Random(incarnation),
+        )
         self.request_port = 0
+        self.group: TaskGroup | None = None
 
     def receive(self, data: bytes, sender: tuple[str, int]) -> None:
-        """Answer a datagram: its header, the service and its own name, the payload."""
+        """Count a datagram and answer it."""
         try:
             datagram = decode_datagram(data)
         except MalformedDatagramError:
-            self.state.foreign_packets += 1
+            self.state.count(foreign_packets=1)
             return
-        seen = self.state.flows.get(datagram.caller, 0) + 1
-        self.state.flows[datagram.caller] = seen
-        name = f"{self.service} {self.address.port} {seen} ".encode()
-        send_datagram(
-            self.datagrams, data[:HEADER_BYTES] + name + datagram.payload, sender
+        packet = _load_packet(datagram.payload)
+        kind = take_packet(
+            self.state,
+            caller=datagram.caller,
+            entry=Address._make(sender),
+            header=data[:HEADER_BYTES],
+            mark=packet.service if packet else "",
+            service=self.name.service,
+            now=time.time(),
         )
+        if kind is not PacketKind.ANSWER:
+            return
+        if packet is not None and packet.subscribe:
+            subscribe(self.state, datagram.caller, packet.flow)
+        self.send(data[:HEADER_BYTES] + self.payload(datagram, packet), sender)
 
-    async def serve_connection(self, stream: ByteStream) -> None:
-        """Answer the requests of one connection."""
-        async with stream:
-            connection = HttpConnection(stream=stream, role=h11.SERVER)
-            with suppress(
-                anyio.BrokenResourceError, anyio.ClosedResourceError, ChervilstageError
-            ):
-                while await self.serve_request(connection):
-                    pass
-
-    async def serve_request(self, connection: HttpConnection) -> bool:
-        """Answer one request and tell whether the connection can go on."""
-        request = await connection.next_event()
-        if not isinstance(request, h11.Request):
-            return False
-        body = await connection.read_body(MAXIMUM_UPLOAD_BYTES)
-        if request.target.startswith(b"/feed"):
-            await self.serve_feed(connection)
-            return connection.can_continue()
-        if not self.state.begin():
-            shed = HttpResponse(
-                status=503, headers={"chervilstage-outcome": "not-run"}, body=b"busy\n"
-            )
-            await send_response(connection, shed)
-            return connection.can_continue()
-        try:
-            response = await self.run(request, body)
-        finally:
-            self.state.end()
-            if self.state.leaving and not self.state.in_flight:
-                self.idle.set()
-        await send_response(connection, response)
-        return connection.can_continue()
-
-    async def run(self, request: h11.Request, body: bytes) -> HttpResponse:
-        """Do the work of a request and return its answer."""
-        key = header_map(request.headers).get("idempotency-key", "")
-        if key:
-            self.state.runs[key] += 1
-        await anyio.sleep(self.work_seconds)
-        answer = {
-            "service": self.service,
-            "upstream": self.address.port,
-            "target": request.target.decode("ascii"),
-            "key": key,
-            "run": self.state.runs[key],
-            "bytes": len(body),
-            "sha256": hashlib.sha256(body).hexdigest(),
-        }
-        return HttpResponse(
-            status=200,
-            headers={"content-type": "application/json"},
-            body=json.dumps(answer).encode(),
-        )
+    def payload(self, datagram: ProxiedDatagram, packet: CallerPacket | None) -> bytes:
+        """Return the answer to a datagram, in the form that its sender uses."""
+        if packet is not None:
+            return encode_answer(self.name, datagram.payload)
+        seen = self.state.flows[datagram.caller].seen
+        words = f"{self.name.service} {self.address.port} {seen} "
+        return words.encode() + datagram.payload
 
-    async def serve_feed(self, connection: HttpConnection) -> None:
-        """Send a line each announcement interval until the caller leaves."""
-        headers = [("content-type", "text/plain"), ("transfer-encoding", "chunked")]
-        await connection.send(h11.Response(status_code=200, headers=headers))
-        sequence = 0
-        while not self.state.leaving:
-            sequence += 1
-            await connection.send(h11.Data(data=f"free alleys {sequence}\n".encode()))
-            await anyio.sleep(ANNOUNCE_SECONDS)
-        await connection.send(h11.EndOfMessage())
+    def send(self, data: bytes, to: tuple[str, int]) -> None:
+        """Send a datagram, late where a fault says so."""
+        delay = self.state.faults.late_ms / 1000
+        if delay and self.group:
+            self.group.start_soon(self.send_late, delay, data, to)
+        else:
+            send_datagram(self.datagrams, data, to)
+
+    async def send_late(self, delay: float, data: bytes, to: tuple[str, int]) -> None:
+        """Send a datagram after a delay in seconds."""
+        await anyio.sleep(delay)
+        send_datagram(self.datagrams, data, to)
+
+    async def push_updates(self) -> None:
+        """Push feed updates through the entries that callers last used."""
+        while True:
+            await anyio.sleep(UPDATE_SECONDS)
+            for _, flow in next_updates(self.state):
+                update = FeedUpdate(
+                    upstream=self.name, feed=flow.subscription, number=flow.updates
+                )
+                self.send(flow.header + encode_update(update), flow.entry)
 
     def record(self) -> UpstreamRecord:
         """Return the next announcement."""
@@ -150,15 +156,15 @@
         return UpstreamRecord(
             identity=UpstreamId(
                 address=self.address,
-                incarnation=self.incarnation,
-                service=self.service,
+                incarnation=self.name.incarnation,
+                service=self.name.service,
             ),
             request_address=Address(host=self.address.host, port=self.request_port),
-            data_centre=self.data_centre,
+            data_centre=self.name.data_centre,
             sequence=self.state.sequence,
             phase=UpstreamPhase.LEAVING if leaving else UpstreamPhase.READY,
             slots=self.state.slots,
-            load=self.state.in_flight,
+            load=reported_load(self.state),
         )
 
     async def announce(self) -> None:
@@ -171,37 +177,84 @@
                 )
                 if answer.status == 204:
                     return
-        log_event("announcement_failed", service=self.service)
+        log_event("announcement_failed", service=self.name.service)
 
     async def announce_forever(self) -> None:
         """Announce at the announcement interval until cancelled."""
         while True:
-            await self.announce()
+            if self.state.faults.announcing:
+                await self.announce()
             await anyio.sleep(ANNOUNCE_SECONDS)
 
+    async def leave(self) -> None:
+        """Announce that this upstream leaves, without ending it."""
+        begin_leaving(self.state, time.time())
+        await self.announce()
+
+    def report(self) -> bytes:
+        """Return the counters as JSON."""
+        return encode_report(self.name, self.state)
+
+    def control(self) -> StandinControl:
+        """Return what the control port acts on."""
+        return StandinControl(
+            state=self.state,
+            silence_open=self.requests.silence_open,
+            leave=self.leave,
+            report=self.report,
+        )
+
     async def start(self, group: TaskGroup) -> None:
         """Begin to listen and to announce."""
+        self.group = group
         listener = await anyio.create_tcp_listener(
             local_host=self.address.host, local_port=0
         )
         self.request_port = listener.extra(SocketAttribute.local_port)
         group.start_soon(receive_datagrams, self.datagrams, self.receive)
-        group.start_soon(listener.serve, self.serve_connection)
+        group.start_soon(listener.serve, self.requests.serve_connection)
+        if self.control_port:
+            address = Address(host=self.address.host, port=self.control_port)
+            await start_control(group, address, self.control())
+        group.start_soon(self.push_updates)
         group.start_soon(self.announce_forever)
         log_event(
             "standin_listening",
-            service=self.service,
-            datagrams=f"{self.address.host}:{self.address.port}",
+            service=self.name.service,
+            datagrams=self.name.address,
             requests=f"{self.address.host}:{self.request_port}",
+            control=self.control_port,
         )
 
     async def drain(self) -> None:
-        """Announce that this upstream leaves and wait for requests in flight."""
-        self.state.leaving = True
-        await self.announce()
-        if self.state.in_flight:
-            await self.idle.wait()
+        """Leave, then wait for flows that linger and for answers under way."""
+        await self.leave()
+        seconds = self.linger_left()
+        while seconds > 0:
+            await anyio.sleep(min(seconds, DRAIN_POLL_SECONDS))
+            seconds = self.linger_left()
+        self.state.ending = True
+        await self.requests.wait_idle()
+
+    def linger_left(self) -> float:
+        """Return how many seconds a planned stop may still wait for flows or feeds."""
+        now = time.time()
+        if not has_active_flows(self.state, now, FLOW_IDLE_SECONDS):
+            return 0.0
+        return self.state.leaving_at + self.linger_seconds - now
+
+    async def stop(self) -> None:
+        """Write the counters."""
+        if self.counters_file:
+            self.counters_file.write_bytes(self.report())
 
     def hooks(self) -> Hooks:
         """Return the life-cycle hooks."""
-        return Hooks(name="standin", start=self.start, drain=self.drain)
+        return Hooks(name="standin", start=self.start, drain=self.drain, stop=self.stop)
+
+
+def _load_packet(payload: bytes) -> CallerPacket | None:
+    try:
+        return decode_packet(payload)
+    except LoadPacketError:
+        return None
--- /dev/null
+++ b/testing/coordination/test_standin.py
@@ -0,0 +1,130 @@
+"""The decisions of a stand-in upstream."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given, strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from chervilstage.coordination.standin import (
+    Arrival,
+    PacketKind,
+    Refusal,
+    admit,
+    finish,
+    is_cold,
+    next_updates,
+    reported_load,
+    take_packet,
+    turn_cold,
+)
+from chervilstage.state.standin import Faults, StandinState
+from chervilstage.state.types import Address
+
+SERVICE = "alley-desk"
+CALLER = Address(host="127.0.0.1", port=9)
+ENTRIES = [Address(host="127.0.0.2", port=n) for n in (1, 2)]
+NEVER = float("inf")
+
+
+def packet(state: StandinState, mark: str, entry: Address) -> PacketKind:
+    """Give the stand-in one datagram."""
+    return take_packet(
+        state,
+        caller=CALLER,
+        entry=entry,
+        header=b"",
+        mark=mark,
+        service=SERVICE,
+        now=1.0,
+    )
+
+
+class AdmissionTests(TestCase):
+    """Guards against a stand-in that hides overload or runs refused work."""
+
+    @given(
+        st.integers(1, 8),
+        st.lists(st.sampled_from(["begin", "end", "cut", "late", "cold"]), max_size=60),
+    )
+    def test_every_request_is_started_or_refused_and_excess_is_counted(
+        self, slots: int, steps: list[str]
+    ) -> None:
+        state, rng = StandinState(slots=slots, cold=True, warm_successes=2), Random(1)
+        started = excess = 0
+        for number, step in enumerate(steps):
+            free = state.in_flight < state.capacity
+            if step in ("begin", "late"):
+                deadline = 1.0 if step == "late" else NEVER
+                arrival = Arrival(deadline=deadline, key=f"k{number}")
+                refusal = admit(state, arrival, SERVICE, 1.0, rng)
+                expected = Refusal.EXPIRED if step == "late" else Refusal.BUSY
+                runs = step == "begin" and free
+                self.assertThat(refusal, Equals(None if runs else expected))
+                self.assertThat(state.runs[arrival.key], Equals(int(runs)))
+                started += runs
+                excess += step == "begin" and not free
+            elif step == "cold":
+                turn_cold(state)
+            elif state.in_flight:
+                finish(state, completed=step == "end")
+            self.assertTrue(1 <= state.capacity <= slots)
+        counts = state.counts
+        self.assertThat(counts.started, Equals(started))
+        over = counts.over_capacity_cold + counts.over_capacity_warm
+        self.assertThat(over, Equals(excess))
+
+    def test_capacity_doubles_on_successes_and_an_abort_is_none(self) -> None:
+        state, rng = StandinState(slots=4, cold=True, warm_successes=2), Random(1)
+        widths = []
+        for completed in (False, True, False, True, True, True, True):
+            admit(state, Arrival(deadline=NEVER), SERVICE, 1.0, rng)
+            finish(state, completed=completed)
+            widths.append(state.capacity)
+        self.assertThat(widths, Equals([1, 1, 1, 2, 2, 4, 4]))
+        self.assertThat(is_cold(state), Is(False))
+
+    def test_shedding_refuses_before_anything_runs(self) -> None:
+        state = StandinState(slots=4)
+        state.faults = Faults(shed_share=1.0)
+        arrival = Arrival(deadline=NEVER, key="k")
+        refusal = admit(state, arrival, SERVICE, 1.0, Random(1))
+        self.assertThat(refusal, Equals(Refusal.SHEDDING))
+        self.assertThat((state.runs["k"], state.in_flight), Equals((0, 0)))
+
+
+class PacketTests(TestCase):
+    """Guards against foreign packets that pass and updates that go astray."""
+
+    def test_packet_of_another_service_is_counted_and_not_answered(self) -> None:
+        state = StandinState(slots=1)
+        kind = packet(state, "league-ledger", ENTRIES[0])
+        self.assertThat(kind, Equals(PacketKind.FOREIGN))
+        self.assertThat(packet(state, SERVICE, ENTRIES[0]), Equals(PacketKind.ANSWER))
+        self.assertThat(state.counts.foreign_packets, Equals(1))
+
+    def test_updates_follow_the_entry_of_the_last_packet(self) -> None:
+        state = StandinState(slots=1)
+        for entry in ENTRIES:
+            packet(state, SERVICE, entry)
+        state.flows[CALLER] = state.flows[CALLER]._replace(subscription="board")
+        pushed = [next_updates(state)[0][1] for _ in range(2)]
+        self.assertThat([f.updates for f in pushed], Equals([1, 2]))
+        self.assertThat({f.entry for f in pushed}, Equals({ENTRIES[1]}))
+
+
+class ReportTests(TestCase):
+    """Guards against reports that cannot lag or lie."""
+
+    @given(st.lists(st.integers(0, 9), min_size=1, max_size=20), st.integers(0, 5))
+    def test_reported_load_is_as_old_as_asked(self, loads: list[int], lag: int) -> None:
+        state = StandinState(slots=10)
+        state.faults = Faults(report_lag=lag)
+        for load in loads:
+            state.in_flight = load
+            reported = reported_load(state)
+        self.assertThat(reported, Equals(loads[max(0, len(loads) - 1 - lag)]))
+        state.faults = Faults(reported_load=0)
+        self.assertThat(reported_load(state), Equals(0))
