--- a/testing/protocol/test_fuzz_decoders.py
+++ b/testing/protocol/test_fuzz_decoders.py
@@ -16,6 +16,7 @@
 from chervilstage.protocol.envelope import Envelope, decode_envelope, encode_envelope
 
 KEY = b"k" * 32
+EXTRA_ARGUMENTS: dict[str, object] = {"key": KEY, "source": "fuzz"}
 
 
 def decoders() -> list[Callable[..., Any]]:
@@ -31,7 +32,8 @@
 
 def decode(decoder: Callable[..., Any], data: bytes) -> None:
     """Decode and accept only typed errors."""
-    arguments = [KEY] if "key" in inspect.signature(decoder).parameters else []
+    parameters = list(inspect.signature(decoder).parameters)[1:]
+    arguments = [EXTRA_ARGUMENTS[name] for name in parameters]
     try:
         decoder(data, *arguments)
     except ChervilstageError as error:
