Add status, audit, explain and members to the operators' client

explain asks every entry where it would send the next packet of a flow and why, so that entries that disagree can be seen. A change whose outcome is not known is sent to the next replica under the same operation id.

--- a/src/chervilstage/errors/configuration.py
+++ b/src/chervilstage/errors/configuration.py
@@ -121,3 +121,7 @@
 
     code = "CS-CONFIG-015"
     template = "refused with {remote_code} (HTTP {status}): {message}"
+
+    def __init__(self, *, status: int, remote_code: str, message: str) -> None:
+        super().__init__(status=status, remote_code=remote_code, message=message)
+        self.remote_code = remote_code
--- a/src/chervilstage/programs/ctl.py
+++ b/src/chervilstage/programs/ctl.py
@@ -19,6 +19,7 @@
     rules_document,
 )
 from ..state.configuration import Change, Configuration, Inventory, Rules
+from .ctl_reports import register
 from .ctl_session import (
     EXIT_BAD_INPUT,
     CaOption,
@@ -43,6 +44,8 @@
     "3 change refused, 4 revision conflict, 5 no quorum or unreachable, 6 wrong key.",
 )
 
+register(app)
+
 InventoryArgument = Annotated[Path, typer.Argument(help="Inventory file in TOML.")]
 RulesArgument = Annotated[Path, typer.Argument(help="Rules file in TOML.")]
 DataCentreArgument = Annotated[str, typer.Argument(help="Name of the data centre.")]
--- /dev/null
+++ b/src/chervilstage/programs/ctl_reports.py
@@ -0,0 +1,316 @@
+"""The commands of ``chervilstagectl`` that report on the running system."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from datetime import UTC, datetime
+from functools import partial
+from typing import Annotated, Any
+
+import typer
+from rich.table import Table
+
+from ..state.configuration import ChangeOutcome
+from .addresses import parse_address
+from .ctl_session import (
+    CaOption,
+    ControlOption,
+    JsonOption,
+    KeyOption,
+    OperationOption,
+    OperatorOption,
+    Session,
+    call,
+    console,
+    open_session,
+    print_json,
+    print_outcome,
+)
+
+WATCH_SECONDS = 2.0
+GAUGES = (
+    "flows_held",
+    "upstreams_ready",
+    "upstreams_warming",
+    "upstreams_leaving",
+    "upstreams_ejected",
+)
+
+TimeOption = Annotated[
+    datetime | None, typer.Option(formats=["%Y-%m-%dT%H:%M:%S", "%Y-%m-%d"])
+]
+
+
+def status(
+    control: ControlOption,
+    key_file: KeyOption,
+    ca_file: CaOption = None,
+    watch: Annotated[
+        bool, typer.Option("--watch", help="Print again every 2 s until interrupted.")
+    ] = False,
+    as_json: JsonOption = False,
+) -> None:
+    """Show every VM: whether it was reached, its revision, flows and upstreams."""
+    session = open_session(control, key_file, ca_file, as_json)
+    print_status(session)
+    while watch:
+        time.sleep(WATCH_SECONDS)
+        print_status(session)
+
+
+def print_status(session: Session) -> None:
+    """Print the status once."""
+    document = call(partial(session.client.read, "/v1/status"))
+    if session.as_json:
+        print_json(document)
+        return
+    console().print(replica_table(document), entry_table(document))
+    missing = [e["name"] for e in document["entries"] if not e["reachable"]]
+    if missing:
+        typer.echo(f"not reached: {', '.join(missing)}")
+    if not document["replica"]["quorum"]:
+        typer.echo("no quorum: no change is accepted; entries go on as they are")
+
+
+def replica_table(document: dict[str, Any]) -> Table:
+    """Return the table of the control replicas."""
+    answering = document["replica"]
+    table = Table(title=f"control replicas, term {answering['term']}")
+    for column in ("replica", "data centre", "reached", "revision", "role"):
+        table.add_column(column)
+    for member in document["members"]:
+        leads = member["name"] == answering["leader"]
+        role = "leader" if leads else "voter" if member["voter"] else "learner"
+        table.add_row(
+            member["name"],
+            member["data_centre"],
+            "yes" if member["reachable"] else "no",
+            _number(member["revision"]),
+            role,
+        )
+    return table
+
+
+def entry_table(document: dict[str, Any]) -> Table:
+    """Return the table of the entries."""
+    table = Table(title="entries")
+    for column in ("entry", "data centre", "reached", "revision"):
+        table.add_column(column)
+    for gauge in GAUGES:
+        table.add_column(gauge.replace("_", " "))
+    for entry in document["entries"]:
+        table.add_row(
+            entry["name"],
+            entry["data_centre"],
+            "yes" if entry["reachable"] else "no",
+            _number(entry["revision"]),
+            *(_number(entry["gauges"].get(gauge)) for gauge in GAUGES),
+        )
+    return table
+
+
+def audit(
+    control: ControlOption,
+    key_file: KeyOption,
+    ca_file: CaOption = None,
+    since: TimeOption = None,
+    until: TimeOption = None,
+    operator: Annotated[str, typer.Option(help="Only changes of this name.")] = "",
+    data_centre: Annotated[
+        str, typer.Option(help="Only changes that concern this data centre.")
+    ] = "",
+    limit: Annotated[int, typer.Option(help="Newest entries to show.")] = 100,
+    as_json: JsonOption = False,
+) -> None:
+    """Show the audit trail; times are in UTC."""
+    session = open_session(control, key_file, ca_file, as_json)
+    parameters = {"limit": str(limit)}
+    for name, moment in (("since", since), ("until", until)):
+        if moment is not None:
+            parameters[name] = str(moment.replace(tzinfo=UTC).timestamp())
+    for name, value in (("operator", operator), ("data_centre", data_centre)):
+        if value:
+            parameters[name] = value
+    outcomes = call(partial(session.client.audit, **parameters))
+    if as_json:
+        print_json([outcome._asdict() for outcome in outcomes])
+        return
+    console().print(audit_table(outcomes))
+
+
+def audit_table(outcomes: list[ChangeOutcome]) -> Table:
+    """Return the table of the audit trail."""
+    table = Table(title="audit trail")
+    for column in ("time", "operator", "revision", "outcome", "difference"):
+        table.add_column(column)
+    table.add_column("operation", no_wrap=True)
+    for outcome in outcomes:
+        moment = datetime.fromtimestamp(outcome.at, UTC)
+        table.add_row(
+            moment.strftime("%Y-%m-%d %H:%M:%S"),
+            outcome.operator,
+            f"{outcome.revision_before} -> {outcome.revision_after}",
+            outcome.code or "accepted",
+            outcome.difference,
+            outcome.operation_id,
+        )
+    return table
+
+
+def explain(
+    service: Annotated[str, typer.Argument(help="Name of the service.")],
+    flow: Annotated[str, typer.Argument(help="HOST:PORT of the caller.")],
+    control: ControlOption,
+    key_file: KeyOption,
+    ca_file: CaOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Show where each entry sends the next packet of a flow, and why."""
+    caller = parse_address(flow)
+    session = open_session(control, key_file, ca_file, as_json)
+    read = partial(
+        session.client.read,
+        "/v1/explain",
+        service=service,
+        host=caller.host,
+        port=str(caller.port),
+    )
+    document = call(read)
+    if as_json:
+        print_json(document)
+        return
+    table = Table(title=f"flow {flow} of {service}")
+    for column in ("entry", "view", "bucket", "upstream", "reason", "candidates"):
+        table.add_column(column)
+    for row in document:
+        if "error" in row:
+            table.add_row(row["entry"], "", "", "", row["error"], "")
+            continue
+        table.add_row(
+            row["entry"],
+            f"{row['view_number']} by {row['view_coordinator']}",
+            str(row["bucket"]),
+            row["upstream"],
+            row["reason"],
+            "\n".join(row["candidates"]),
+        )
+    console().print(table)
+
+
+members = typer.Typer(
+    no_args_is_help=True, help="Show and change the set of control replicas."
+)
+
+
+@members.command("list")
+def members_list(
+    control: ControlOption,
+    key_file: KeyOption,
+    ca_file: CaOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Show the control replicas."""
+    session = open_session(control, key_file, ca_file, as_json)
+    document = call(partial(session.client.read, "/v1/members"))
+    if as_json:
+        print_json(document)
+        return
+    table = Table(title=f"control replicas, leader {document['leader'] or 'unknown'}")
+    for column in ("replica", "identity", "data centre", "address", "votes"):
+        table.add_column(column)
+    for member in document["members"]:
+        table.add_row(
+            member["name"],
+            member["identity"],
+            member["data_centre"],
+            f"{member['host']}:{member['port']}",
+            "yes" if member["voter"] else "no",
+        )
+    console().print(table)
+
+
+NameArgument = Annotated[str, typer.Argument(help="Name of the replica.")]
+AddressArgument = Annotated[
+    str, typer.Argument(help="HOST:PORT where the new replica takes frames.")
+]
+
+
+def change_members(
+    session: Session,
+    action: str,
+    name: str,
+    address: str,
+    operator: str,
+    operation_id: str | None,
+) -> None:
+    """Submit a change of the set of replicas and print its outcome."""
+    document: dict[str, object] = {
+        "operation_id": operation_id or str(uuid.uuid4()),
+        "operator": operator,
+        "action": action,
+        "name": name,
+    }
+    if address:
+        place = parse_address(address)
+        document |= {"host": place.host, "port": place.port}
+    outcome = call(partial(session.client.change_members, document))
+    print_outcome(session, outcome, "accepted")
+
+
+@members.command("add")
+def members_add(
+    name: NameArgument,
+    address: AddressArgument,
+    control: ControlOption,
+    key_file: KeyOption,
+    operator: OperatorOption,
+    ca_file: CaOption = None,
+    operation_id: OperationOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Add a replica; it votes once it holds the whole log."""
+    session = open_session(control, key_file, ca_file, as_json)
+    change_members(session, "add", name, address, operator, operation_id)
+
+
+@members.command("remove")
+def members_remove(
+    name: NameArgument,
+    control: ControlOption,
+    key_file: KeyOption,
+    operator: OperatorOption,
+    ca_file: CaOption = None,
+    operation_id: OperationOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Remove a replica."""
+    session = open_session(control, key_file, ca_file, as_json)
+    change_members(session, "remove", name, "", operator, operation_id)
+
+
+@members.command("replace")
+def members_replace(
+    name: NameArgument,
+    address: AddressArgument,
+    control: ControlOption,
+    key_file: KeyOption,
+    operator: OperatorOption,
+    ca_file: CaOption = None,
+    operation_id: OperationOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Put a replica with a blank disk in the place of the one of that name."""
+    session = open_session(control, key_file, ca_file, as_json)
+    change_members(session, "replace", name, address, operator, operation_id)
+
+
+def _number(value: float | None) -> str:
+    return "-" if value is None else f"{value:g}"
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands of this module to the application."""
+    for command in (status, audit, explain):
+        app.command()(command)
+    app.add_typer(members, name="members")
--- a/src/chervilstage/programs/ctl_session.py
+++ b/src/chervilstage/programs/ctl_session.py
@@ -146,7 +146,7 @@
     operator: str,
     operation_id: str | None,
     from_revision: int | None = None,
-) -> ChangeOutcome:
+) -> None:
     """Submit a change that is made from the newest or the given revision.
 
     :param edit: fills the change, given the newest configuration.
@@ -162,20 +162,22 @@
         return await session.client.submit(edit(base, change))
 
     outcome = call(exchange)
+    print_outcome(session, outcome, f"accepted as revision {outcome.revision_after}")
+
+
+def print_outcome(session: Session, outcome: ChangeOutcome, accepted: str) -> None:
+    """Print the outcome of a change and exit with its status.
+
+    :param accepted: what to print where the change was accepted.
+    """
+    operation = f"(operation {outcome.operation_id})"
     if session.as_json:
         print_json(outcome._asdict())
     elif not outcome.code:
-        typer.echo(
-            f"accepted as revision {outcome.revision_after} "
-            f"(operation {outcome.operation_id})"
-        )
+        typer.echo(f"{accepted} {operation}")
     else:
-        typer.echo(
-            f"{outcome.code} {outcome.message} (operation {outcome.operation_id})",
-            err=True,
-        )
+        typer.echo(f"{outcome.code} {outcome.message} {operation}", err=True)
     if outcome.code == RevisionConflictError.code:
         raise typer.Exit(EXIT_CONFLICT)
     if outcome.code:
         raise typer.Exit(EXIT_REFUSED)
-    return outcome
--- a/src/chervilstage/protocol/kinds.py
+++ b/src/chervilstage/protocol/kinds.py
@@ -38,3 +38,4 @@
 
     CONFIGURATION_FETCH = 100
     STATUS = 101
+    EXPLAIN_FLOW = 102
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -16,6 +16,7 @@
 from .capacity import UpstreamCapacity
 from .configuration_client import ConfigurationClient
 from .entry_status import phase_gauges, serve_entry_status
+from .flow_explanations import serve_explanations
 from .flow_link import FlowLink
 from .frame_channel import FrameClient, FrameServer
 from .front_ends import FrontEnds
@@ -107,6 +108,7 @@
             **phase_gauges(registry),
         }
 
+    serve_explanations(frame_server, flows)
     serve_entry_status(frame_server, in_force, gauges, client.group)
 
     app = Application(
--- a/src/chervilstage/transport/operator_calls.py
+++ b/src/chervilstage/transport/operator_calls.py
@@ -12,6 +12,8 @@
 GET      /v1/status          this replica, all replicas, all entries
 GET      /v1/members         the set of replicas as this replica knows it
 POST     /v1/members         add, remove or replace a replica
+GET      /v1/explain         where each entry sends a flow; ``service``, ``host`` and
+                             ``port`` of the caller
 =======  ==================  =====================================================
 """
 
@@ -37,6 +39,7 @@
 from ..protocol.changes import decode_change, encode_outcome, encode_outcomes
 from ..protocol.control_messages import OperatorCall
 from ..protocol.documents import encode_configuration
+from ..protocol.explanation_messages import FlowQuery
 from ..protocol.operator_documents import (
     MembersChangeDocument,
     Parameters,
@@ -52,6 +55,7 @@
 from ..state.replica import Role
 from ..state.replica_set import ReplicaMember
 from ..state.types import Address, Peer
+from .flow_explanations import collect_explanations
 from .replica_driver import ReplicaDriver, replica_clock
 from .replica_formation import ReplicaFormation
 from .status_collector import collect_statuses
@@ -88,6 +92,7 @@
             ("GET", "/v1/status"): self.status,
             ("GET", "/v1/members"): self.members,
             ("POST", "/v1/members"): self.change_members,
+            ("GET", "/v1/explain"): self.explain,
         }
 
     async def answer(self, call: OperatorCall) -> bytes:
@@ -202,6 +207,20 @@
         }
         return json.dumps(document).encode()
 
+    async def explain(self, parameters: Parameters, body: bytes) -> bytes:
+        """Answer with what each entry would do with the next packet of a flow."""
+        query = FlowQuery(
+            service=parameters.get("service", ""),
+            caller=Address(
+                host=parameters.get("host", ""),
+                port=int(number_parameter(parameters, "port", 0)),
+            ),
+        )
+        entries = self.entries.known(replica_clock())
+        client = self.formation.client
+        found = await collect_explanations(client, entries, query)
+        return json.dumps(found).encode()
+
     def has_quorum(self) -> bool:
         """Tell whether this replica leads with a majority, or hears of a leader."""
         replica, now = self.driver.replica, replica_clock()
--- a/src/chervilstage/transport/operator_client.py
+++ b/src/chervilstage/transport/operator_client.py
@@ -2,20 +2,32 @@
 
 from __future__ import annotations
 
+import json
 import ssl
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from typing import Any
+from urllib.parse import urlencode
 
 from ..errors import ChervilstageError
 from ..errors.access import OperatorKeyError, PeerUnreachableError
-from ..errors.configuration import NoQuorumError, OperatorCallError
-from ..protocol.changes import decode_outcome, encode_change
+from ..errors.configuration import (
+    ChangeUnsettledError,
+    NoQuorumError,
+    NotLeaderError,
+    OperatorCallError,
+    ReplicaBusyError,
+)
+from ..protocol.changes import decode_outcome, decode_outcomes, encode_change
 from ..protocol.documents import decode_configuration
 from ..state.configuration import Change, ChangeOutcome, Configuration
 from ..state.types import Address
 from .http_client import http_request
 from .http_connection import HttpResponse
 
-CALL_SECONDS = 10.0
+CALL_SECONDS = 15.0
+RETRYABLE_CODES = frozenset(
+    error.code for error in (NotLeaderError, ChangeUnsettledError, ReplicaBusyError)
+)
 
 
 class OperatorClient:
@@ -49,6 +61,21 @@
         body = await self.call("POST", "/v1/changes", encode_change(change))
         return decode_outcome(body)
 
+    async def read(self, path: str, **parameters: str) -> Any:
+        """Return the decoded JSON answer of a read."""
+        query = f"?{urlencode(parameters)}" if parameters else ""
+        return json.loads(await self.call("GET", path + query))
+
+    async def audit(self, **parameters: str) -> list[ChangeOutcome]:
+        """Return the entries of the audit trail that match, oldest first."""
+        query = f"?{urlencode(parameters)}" if parameters else ""
+        return decode_outcomes(await self.call("GET", f"/v1/audit{query}"))
+
+    async def change_members(self, document: Mapping[str, object]) -> ChangeOutcome:
+        """Add, remove or replace a replica and return the outcome."""
+        body = json.dumps(document).encode()
+        return decode_outcome(await self.call("POST", "/v1/members", body))
+
     async def call(self, method: str, target: str, body: bytes = b"") -> bytes:
         """Call the replicas in turn and return the body of the first answer.
 
@@ -63,6 +90,10 @@
                 return await self.call_one(replica, method, target, body)
             except (PeerUnreachableError, NoQuorumError) as error:
                 failure = error
+            except OperatorCallError as error:
+                if error.remote_code not in RETRYABLE_CODES:
+                    raise
+                failure = error
         raise failure or PeerUnreachableError(address="-", reason="no replica named")
 
     async def call_one(
