--- /dev/null
+++ b/src/chervilstage/coordination/load_checks.py
@@ -0,0 +1,156 @@
+"""The checks that callers of a load run make on what comes back."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..state.load_packets import FeedUpdate, PacketAnswer, UpstreamName
+from ..state.load_results import (
+    Fault,
+    Finding,
+    FlowBreak,
+    FlowRecord,
+    LoadResults,
+    Outcome,
+)
+
+STATUS_ANSWERED = 200
+OUTCOMES = {"not-run": Outcome.NOT_RUN, "unknown": Outcome.UNKNOWN}
+
+
+class RequestIdentity(NamedTuple):
+    """What tells a request from all others."""
+
+    method: str
+    target: str
+    key: str
+    request: str
+
+
+class RequestContent(NamedTuple):
+    """What arrived at the upstream, and how much of an answer it sent."""
+
+    body_bytes: int
+    body_hash: str
+    answer_bytes: int
+
+
+class ExpectedAnswer(NamedTuple):
+    """What the whole and own answer to a request says."""
+
+    service: str
+    identity: RequestIdentity
+    content: RequestContent
+
+
+class RequestAnswer(NamedTuple):
+    """What an answer says; ``run`` counts the runs of the key so far."""
+
+    upstream: UpstreamName
+    identity: RequestIdentity
+    content: RequestContent
+    run: int
+
+
+def classify(status: int, outcome: str) -> Outcome:
+    """Return how an attempt ended from the status and the outcome header."""
+    if outcome in OUTCOMES:
+        return OUTCOMES[outcome]
+    return Outcome.ANSWERED if status == STATUS_ANSWERED else Outcome.REFUSED
+
+
+def check_answer(
+    expected: ExpectedAnswer, answer: RequestAnswer, at: float
+) -> list[Finding]:
+    """Return what is wrong with the answer to a request."""
+    name, key = expected.identity.request, expected.identity.key
+    found: list[tuple[Fault, str]] = []
+    if answer.upstream.service != expected.service:
+        found.append((Fault.OTHER_SERVICE, f"answered by {answer.upstream}"))
+    if answer.identity != expected.identity:
+        found.append((Fault.NOT_OWN, f"answer to {answer.identity}"))
+    elif answer.content != expected.content:
+        difference = f"{answer.content} in place of {expected.content}"
+        found.append((Fault.DAMAGED, difference))
+    if key and answer.run != 1:
+        found.append((Fault.SECOND_RUN, f"run {answer.run} of {key}"))
+    return [
+        Finding(fault=fault, at=at, detail=f"{name}: {detail}")
+        for fault, detail in found
+    ]
+
+
+def send_packet(flow: FlowRecord, sequence: int, now: float) -> None:
+    """Record that a packet of a flow is sent."""
+    flow.sent_at[sequence] = now
+    flow.sent += 1
+    flow.unanswered_in_row += 1
+
+
+def take_packet_answer(
+    results: LoadResults,
+    flow: FlowRecord,
+    answer: PacketAnswer,
+    body: bytes,
+    now: float,
+) -> None:
+    """Check the answer to a packet of a flow.
+
+    :param body: what the caller sent under the sequence that the answer repeats.
+    """
+    packet = answer.packet
+    own = (packet.flow, packet.service) == (flow.name, flow.service)
+    if not own or packet.sequence > flow.sent or packet.body != body:
+        detail = f"{flow.name}: answer to {packet.flow} {packet.sequence}"
+        results.find(Finding(fault=Fault.NOT_OWN, at=now, detail=detail))
+        return
+    _follow(results, flow, answer.upstream, now)
+    sent_at = flow.sent_at.pop(packet.sequence, None)
+    if sent_at is None:
+        results.counts["packets_answered_twice"] += 1
+        return
+    flow.answered += 1
+    flow.unanswered_in_row = 0
+    results.mark_second("packets", now)
+    results.serve(answer.upstream, sent_at)
+    results.add_latency(f"packets {flow.service}", now - sent_at)
+
+
+def take_update(
+    results: LoadResults, flow: FlowRecord, update: FeedUpdate, now: float
+) -> None:
+    """Check an update that an upstream pushed to a flow."""
+    if update.feed != flow.name:
+        detail = f"{flow.name}: update of {update.feed}"
+        results.find(Finding(fault=Fault.NOT_OWN, at=now, detail=detail))
+        return
+    _follow(results, flow, update.upstream, now)
+    flow.updates += 1
+    results.counts["updates"] += 1
+    results.mark_second("updates", now)
+
+
+def check_feed_line(
+    results: LoadResults, feed: str, line: bytes, expected: int, now: float
+) -> None:
+    """Check one line of an endless answer; lines are numbered from 1."""
+    number = line.rpartition(b" ")[2].strip()
+    if number != str(expected).encode():
+        detail = f"{feed}: line {line!r} in place of {expected}"
+        results.find(Finding(fault=Fault.GAP_IN_FEED, at=now, detail=detail))
+    results.counts["feed_lines"] += 1
+
+
+def _follow(
+    results: LoadResults, flow: FlowRecord, upstream: UpstreamName, now: float
+) -> None:
+    if upstream.service != flow.service:
+        detail = f"{flow.name}: answered by {upstream}"
+        results.find(Finding(fault=Fault.OTHER_SERVICE, at=now, detail=detail))
+    before, flow.upstream = flow.upstream, upstream
+    if before is None or before == upstream:
+        return
+    results.breaks.append(
+        FlowBreak(flow=flow.name, at=now, before=before, after=upstream)
+    )
+    results.mark_second("broken flows", now)
--- /dev/null
+++ b/src/chervilstage/coordination/load_schedule.py
@@ -0,0 +1,121 @@
+"""When each packet and request of a load run is due, and at which entry."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from random import Random
+from typing import NamedTuple
+
+from ..state.load_plan import FlowLoad, LoadPlan, RequestLoad
+from ..state.load_results import Outcome
+
+RETRIED = (
+    Outcome.NOT_RUN,
+    Outcome.UNKNOWN,
+    Outcome.UNREACHABLE,
+    Outcome.CUT,
+    Outcome.TIMED_OUT,
+)
+
+
+class PacketDue(NamedTuple):
+    """A packet and the entry that it is sent to; ``at`` counts from the start."""
+
+    at: float
+    load: int
+    caller: int
+    sequence: int
+    entry: int
+
+
+class RequestDue(NamedTuple):
+    """A request, and the entries in the order in which its caller asks them.
+
+    ``token`` is random text for the idempotency key.
+    """
+
+    at: float
+    load: int
+    number: int
+    entries: tuple[int, ...]
+    token: str
+    leaves: bool
+    half_sent: bool
+
+
+def packet_schedule(plan: LoadPlan) -> Iterator[PacketDue]:
+    """Yield the packets of all flows in order of time.
+
+    Each packet takes an entry at random, as a fabric sprays them.
+    """
+    return heapq.merge(
+        *(_packets(plan, index, load) for index, load in enumerate(plan.flows))
+    )
+
+
+def request_schedule(plan: LoadPlan) -> Iterator[RequestDue]:
+    """Yield the requests of all loads in order of time.
+
+    Arrivals are independent of answers (open loop), with exponential gaps.
+    """
+    return heapq.merge(
+        *(_requests(plan, index, load) for index, load in enumerate(plan.requests))
+    )
+
+
+def next_entry(
+    load: RequestLoad, due: RequestDue, attempts: int, outcome: Outcome
+) -> int | None:
+    """Return the entry that a caller asks next, or ``None`` if it stops trying.
+
+    :param attempts: how many attempts were made; the last one ended with ``outcome``.
+    """
+    if outcome not in RETRIED or attempts >= load.attempts:
+        return None
+    return due.entries[attempts % len(due.entries)]
+
+
+def make_key(unix_ms: int, data_centre: str, token: str) -> str:
+    """Return the idempotency key of a request.
+
+    :param data_centre: where the caller asks first.
+    """
+    return f"v1.{unix_ms}.{data_centre}.{token}"
+
+
+def packet_body(seed: int, flow: str, sequence: int, size: int) -> bytes:
+    """Return the payload of a packet, which no other packet of the run has."""
+    unit = f"{seed}/{flow}/{sequence}/".encode()
+    return (unit * (size // len(unit) + 1))[:size]
+
+
+def _packets(plan: LoadPlan, index: int, load: FlowLoad) -> Iterator[PacketDue]:
+    rng = Random(f"{plan.seed}/packets/{index}")
+    gap = 1 / load.packets_per_second
+    for number in range(int(plan.seconds * load.packets_per_second)):
+        yield PacketDue(
+            at=number * gap,
+            load=index,
+            caller=number % load.callers,
+            sequence=number // load.callers + 1,
+            entry=rng.randrange(len(plan.entries)),
+        )
+
+
+def _requests(plan: LoadPlan, index: int, load: RequestLoad) -> Iterator[RequestDue]:
+    rng = Random(f"{plan.seed}/requests/{index}")
+    at, number = rng.expovariate(load.per_second), 0
+    while at < plan.seconds:
+        number += 1
+        leaves = rng.random() < load.leave_share
+        yield RequestDue(
+            at=at,
+            load=index,
+            number=number,
+            entries=tuple(rng.sample(range(len(plan.entries)), len(plan.entries))),
+            token=f"{rng.getrandbits(64):016x}",
+            leaves=leaves,
+            half_sent=not leaves and rng.random() < load.half_sent_share,
+        )
+        at += rng.expovariate(load.per_second)
--- /dev/null
+++ b/src/chervilstage/coordination/load_summary.py
@@ -0,0 +1,128 @@
+"""The report of a load run from what its callers have seen."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+
+from hdrh.histogram import HdrHistogram
+
+from ..state.load_plan import LoadPlan, Mark
+from ..state.load_report import Imbalance, Latency, LoadReport, RequestSummary
+from ..state.load_results import LoadResults, Outcome, RequestRecord
+from ..state.standin_report import StandinReport
+from .load_verdict import broken_flows, judge
+
+MICROSECONDS = 1000.0
+UNJUDGED = (Outcome.LEFT, Outcome.HALF_SENT)
+
+
+def make_report(
+    plan: LoadPlan,
+    results: LoadResults,
+    reports: Sequence[StandinReport],
+    marks: Sequence[Mark],
+    started_at: float,
+) -> LoadReport:
+    """Return the report of a run.
+
+    :param started_at: when the run began, in seconds of the wall clock.
+    """
+    causes = broken_flows(results, marks)
+    return LoadReport(
+        started_at=started_at,
+        seconds=plan.seconds,
+        promises=tuple(judge(plan, results, reports, marks)),
+        requests=tuple(_request_summaries(results.requests)),
+        latencies=tuple(_latency(*item) for item in sorted(results.latencies.items())),
+        imbalances=tuple(_imbalances(results)),
+        counts=_counts(results, reports),
+        broken_flows={cause.value: count for cause, count in causes.items()},
+        findings=tuple(f"{f.fault.value}: {f.detail}" for f in results.findings),
+        marks=tuple(marks),
+        series=_series(results.series, started_at),
+    )
+
+
+def _request_summaries(requests: Iterable[RequestRecord]) -> Iterable[RequestSummary]:
+    groups: dict[tuple[str, str], list[RequestRecord]] = {}
+    for request in requests:
+        groups.setdefault((request.load, request.home), []).append(request)
+    for (load, home), members in sorted(groups.items()):
+        judged = [r for r in members if r.outcome not in UNJUDGED]
+        yield RequestSummary(
+            load=load,
+            home=home,
+            due=len(judged),
+            in_time=sum(r.in_time for r in judged),
+            outcomes=Counter(r.outcome.value for r in members),
+        )
+
+
+def _latency(name: str, histogram: HdrHistogram) -> Latency:
+    def quantile(percentile: float) -> float:
+        value: float = histogram.get_value_at_percentile(percentile)
+        return value / MICROSECONDS
+
+    return Latency(
+        name=name,
+        samples=histogram.total_count,
+        p50=quantile(50),
+        p90=quantile(90),
+        p99=quantile(99),
+        p999=quantile(99.9),
+        maximum=quantile(100),
+    )
+
+
+def _imbalances(results: LoadResults) -> Iterable[Imbalance]:
+    held: Counter[tuple[str, str]] = Counter(
+        (flow.service, flow.upstream.address)
+        for flow in results.flows.values()
+        if flow.upstream
+    )
+    for what, by_upstream in (("flows", held), ("requests", results.answered_by)):
+        for service in sorted({service for service, _ in by_upstream}):
+            shares = [n for (name, _), n in by_upstream.items() if name == service]
+            yield Imbalance(
+                service=service,
+                what=what,
+                upstreams=len(shares),
+                ratio=max(shares) * len(shares) / sum(shares),
+            )
+
+
+def _counts(
+    results: LoadResults, reports: Sequence[StandinReport]
+) -> Mapping[str, int]:
+    flows = results.flows.values()
+    sent = sum(flow.sent for flow in flows)
+    answered = sum(flow.answered for flow in flows)
+    attempts = Counter(
+        f"attempts_{attempt.outcome.value}"
+        for request in results.requests
+        for attempt in request.attempts
+    )
+    upstreams: Counter[str] = Counter()
+    for report in reports:
+        for name, value in report.counts._asdict().items():
+            upstreams[f"upstream_{name}"] += value
+    return {
+        "flows": len(flows),
+        "packets_sent": sent,
+        "packets_answered": answered,
+        "packets_unanswered": sent - answered,
+        **attempts,
+        **results.counts,
+        **upstreams,
+    }
+
+
+def _series(
+    series: Mapping[str, Counter[int]], started_at: float
+) -> Mapping[str, Mapping[int, int]]:
+    start = int(started_at)
+    return {
+        name: {second - start: count for second, count in sorted(counts.items())}
+        for name, counts in series.items()
+    }
--- /dev/null
+++ b/src/chervilstage/coordination/load_verdict.py
@@ -0,0 +1,229 @@
+"""Which promises of the design page held in a load run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from enum import StrEnum
+
+from ..state.load_packets import UpstreamName
+from ..state.load_plan import LoadPlan, Mark
+from ..state.load_report import Promise
+from ..state.load_results import (
+    BUCKETS_PER_SECOND,
+    Fault,
+    FlowBreak,
+    LoadResults,
+    Outcome,
+)
+from ..state.standin_report import StandinReport
+
+OUT_SECONDS = 3.0
+LEAVE_SECONDS = 2.0
+KILL_SECONDS = 5.0
+STALLED_PACKETS = 8
+
+
+class BreakCause(StrEnum):
+    """Why a flow broke; only ``PLANNED`` and ``UNANSWERED`` break a promise."""
+
+    PLANNED = "planned"
+    DATA_CENTRE_OUT = "data_centre_out"
+    UPSTREAM_KILLED = "upstream_killed"
+    ENTRY_KILLED = "entry_killed"
+    UNANSWERED = "unanswered"
+
+
+def judge(
+    plan: LoadPlan,
+    results: LoadResults,
+    reports: Sequence[StandinReport],
+    marks: Sequence[Mark],
+) -> list[Promise]:
+    """Return the promises with their violations."""
+    return [
+        _flows_kept(results, marks),
+        _own_service(results, reports),
+        _cold(reports),
+        _data_centre_out(results, marks),
+        _own_answers(results),
+        _not_run(results, reports),
+        _single_runs(results, reports),
+        _leaving(reports),
+        _nothing_cut(plan, results),
+    ]
+
+
+def broken_flows(results: LoadResults, marks: Sequence[Mark]) -> Counter[BreakCause]:
+    """Count broken flows by cause; a flow that broke twice counts twice."""
+    causes = Counter(break_cause(item, marks) for item in results.breaks)
+    killed = {mark.name for mark in marks if mark.word == "upstream-killed"}
+    for flow in results.flows.values():
+        if flow.unanswered_in_row < STALLED_PACKETS:
+            continue
+        lost = flow.upstream is not None and flow.upstream.address in killed
+        cause = BreakCause.UPSTREAM_KILLED if lost else BreakCause.UNANSWERED
+        causes[cause] += 1
+    return causes
+
+
+def break_cause(item: FlowBreak, marks: Sequence[Mark]) -> BreakCause:
+    """Return why a flow was answered by another upstream than before."""
+    sides = (item.before, item.after)
+    if any(_is_out(side, item.at, marks) for side in sides):
+        return BreakCause.DATA_CENTRE_OUT
+    addresses = {side.address for side in sides}
+    for mark in marks:
+        age = item.at - mark.at
+        if mark.word == "upstream-killed" and age >= 0 and mark.name in addresses:
+            return BreakCause.UPSTREAM_KILLED
+        if mark.word == "entry-killed" and 0 <= age <= KILL_SECONDS:
+            return BreakCause.ENTRY_KILLED
+    return BreakCause.PLANNED
+
+
+def _is_out(upstream: UpstreamName, at: float, marks: Sequence[Mark]) -> bool:
+    out = False
+    for mark in marks:
+        if mark.at <= at and mark.name == upstream.data_centre:
+            out = {"out": True, "back": False}.get(mark.word, out)
+    return out
+
+
+def _flows_kept(results: LoadResults, marks: Sequence[Mark]) -> Promise:
+    causes = broken_flows(results, marks)
+    planned, silent = causes[BreakCause.PLANNED], causes[BreakCause.UNANSWERED]
+    detail = f"{planned} moved, {silent} left unanswered" if planned + silent else ""
+    return Promise(
+        name="1 flows keep their upstream",
+        violations=planned + silent,
+        checked=len(results.flows),
+        detail=detail,
+    )
+
+
+def _own_service(results: LoadResults, reports: Sequence[StandinReport]) -> Promise:
+    foreign = [r.counts.foreign_packets + r.counts.foreign_requests for r in reports]
+    seen = sum(r.counts.packets + r.counts.requests for r in reports)
+    return Promise(
+        name="2 no packet to another service",
+        violations=sum(foreign) + results.faults[Fault.OTHER_SERVICE],
+        checked=seen,
+    )
+
+
+def _cold(reports: Sequence[StandinReport]) -> Promise:
+    return Promise(
+        name="3 cold upstreams are not overloaded",
+        violations=sum(r.counts.over_capacity_cold for r in reports),
+        checked=sum(r.counts.requests for r in reports),
+    )
+
+
+def _data_centre_out(results: LoadResults, marks: Sequence[Mark]) -> Promise:
+    windows = _out_windows(marks)
+    late = Counter(
+        name
+        for (data_centre, bucket), count in results.served.items()
+        for name, begin, end in windows
+        if data_centre == name and begin + OUT_SECONDS <= _seconds(bucket) < end
+        for _ in range(count)
+    )
+    return Promise(
+        name="4 a data centre taken out gets no packets",
+        violations=late.total(),
+        checked=len(windows),
+        detail=", ".join(f"{count} after out of {dc}" for dc, count in late.items()),
+    )
+
+
+def _out_windows(marks: Sequence[Mark]) -> list[tuple[str, float, float]]:
+    windows = []
+    for mark in marks:
+        if mark.word != "out":
+            continue
+        backs = [m.at for m in marks if (m.word, m.name) == ("back", mark.name)]
+        end = min((at for at in backs if at > mark.at), default=float("inf"))
+        windows.append((mark.name, mark.at, end))
+    return windows
+
+
+def _seconds(bucket: int) -> float:
+    return bucket / BUCKETS_PER_SECOND
+
+
+def _own_answers(results: LoadResults) -> Promise:
+    faults = (Fault.DAMAGED, Fault.NOT_OWN, Fault.GAP_IN_FEED)
+    answered = sum(r.outcome is Outcome.ANSWERED for r in results.requests)
+    packets = sum(flow.answered for flow in results.flows.values())
+    return Promise(
+        name="5 answers are whole and the caller's own",
+        violations=sum(results.faults[fault] for fault in faults),
+        checked=answered + packets + results.counts["feed_lines"],
+    )
+
+
+def _not_run(results: LoadResults, reports: Sequence[StandinReport]) -> Promise:
+    by_attempt = _sum_runs([r.attempt_runs for r in reports])
+    by_key = _sum_runs([r.runs for r in reports])
+    false, checked = [], 0
+    for request in results.requests:
+        refused = [a for a in request.attempts if a.outcome is Outcome.NOT_RUN]
+        checked += len(refused)
+        ran = any(by_attempt[a.name] for a in refused)
+        if request.outcome is Outcome.NOT_RUN and request.key:
+            ran = ran or by_key[request.key] > 0
+        if ran:
+            false.append(request.key or request.attempts[0].name)
+    return Promise(
+        name="6 refusals that say not run are true",
+        violations=len(false),
+        checked=checked,
+        detail=" ".join(false[:3]),
+    )
+
+
+def _single_runs(results: LoadResults, reports: Sequence[StandinReport]) -> Promise:
+    runs = _sum_runs([r.runs for r in reports])
+    twice = [key for key, count in runs.items() if count > 1]
+    half_sent = [
+        r.key
+        for r in results.requests
+        if r.outcome is Outcome.HALF_SENT and runs[r.key] > 0
+    ]
+    answered_again = results.faults[Fault.SECOND_RUN]
+    return Promise(
+        name="7 keyed requests run at most once, half-sent ones never",
+        violations=max(len(twice), answered_again) + len(half_sent),
+        checked=len(runs),
+        detail=" ".join((twice + half_sent)[:3]),
+    )
+
+
+def _leaving(reports: Sequence[StandinReport]) -> Promise:
+    left = [r for r in reports if r.leaving_at]
+    late = [r for r in left if r.last_new_work_at - r.leaving_at > LEAVE_SECONDS]
+    return Promise(
+        name="8 leaving upstreams get no new work after 2 s",
+        violations=len(late),
+        checked=len(left),
+        detail=" ".join(r.upstream.address for r in late),
+    )
+
+
+def _nothing_cut(plan: LoadPlan, results: LoadResults) -> Promise:
+    attempts = [a for r in results.requests for a in r.attempts]
+    cut = sum(a.outcome is Outcome.CUT for a in attempts)
+    return Promise(
+        name="9 planned stops cut no request",
+        violations=cut if plan.planned else 0,
+        checked=len(attempts) if plan.planned else 0,
+        detail="" if plan.planned else f"not judged; {cut} cut",
+    )
+
+
+def _sum_runs(runs: Sequence[Mapping[str, int]]) -> Counter[str]:
+    total: Counter[str] = Counter()
+    for item in runs:
+        total.update(item)
+    return total
--- /dev/null
+++ b/src/chervilstage/protocol/load_tables.py
@@ -0,0 +1,103 @@
+"""The report of a load run as text tables."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from rich.console import Console
+from rich.table import Table
+
+from ..state.load_report import LoadReport, Promise
+
+WIDTH = 110
+
+
+def print_report(report: LoadReport, console: Console | None = None) -> None:
+    """Print the tables of a report.
+
+    :param console: where to; standard output if absent.
+    """
+    target = console or Console(width=WIDTH)
+    for table in (
+        _promises(report.promises),
+        _requests(report),
+        _latencies(report),
+        _imbalances(report),
+        _counts(report),
+    ):
+        if table.row_count:
+            target.print(table)
+    for finding in report.findings:
+        target.print(f"finding {finding}", markup=False)
+
+
+def _promises(promises: Sequence[Promise]) -> Table:
+    rows = [
+        (p.name, _state(p), str(p.violations), str(p.checked), p.detail)
+        for p in promises
+    ]
+    heads = ("promise", "held", "violations", "checked", "detail")
+    return _table("Promises", heads, rows)
+
+
+def _state(promise: Promise) -> str:
+    if promise.violations:
+        return "NO"
+    return "yes" if promise.checked else "not tested"
+
+
+def _requests(report: LoadReport) -> Table:
+    rows = [
+        (
+            item.load,
+            item.home,
+            str(item.due),
+            str(item.in_time),
+            f"{item.in_time / item.due:.4%}" if item.due else "-",
+            " ".join(f"{k}={v}" for k, v in sorted(item.outcomes.items())),
+        )
+        for item in report.requests
+    ]
+    heads = ("load", "first asked in", "due", "in time", "share", "outcomes")
+    return _table("Requests", heads, rows)
+
+
+def _latencies(report: LoadReport) -> Table:
+    rows = [
+        (
+            item.name,
+            str(item.samples),
+            *(
+                f"{value:.1f}"
+                for value in (item.p50, item.p90, item.p99, item.p999, item.maximum)
+            ),
+        )
+        for item in report.latencies
+    ]
+    heads = ("latency in ms", "samples", "p50", "p90", "p99", "p99.9", "max")
+    return _table("Latency", heads, rows)
+
+
+def _imbalances(report: LoadReport) -> Table:
+    rows = [
+        (item.service, item.what, str(item.upstreams), f"{item.ratio:.2f}")
+        for item in report.imbalances
+    ]
+    heads = ("service", "of", "upstreams", "busiest over mean")
+    return _table("Imbalance", heads, rows)
+
+
+def _counts(report: LoadReport) -> Table:
+    broken = {f"broken flows: {k}": v for k, v in report.broken_flows.items()}
+    counts = {**report.counts, **broken}
+    rows = [(name, str(value)) for name, value in counts.items() if value]
+    return _table("Counts", ("what", "count"), rows)
+
+
+def _table(title: str, heads: Sequence[str], rows: Iterable[Sequence[str]]) -> Table:
+    table = Table(title=title, title_justify="left")
+    for head in heads:
+        table.add_column(head)
+    for row in rows:
+        table.add_row(*row)
+    return table
--- a/src/chervilstage/protocol/standin_control.py
+++ b/src/chervilstage/protocol/standin_control.py
@@ -9,11 +9,10 @@
 from pydantic import ConfigDict, Field, TypeAdapter, with_config
 from typing_extensions import TypedDict
 
-from ..errors.settings import FileUnreadableError
 from ..state.load_packets import UpstreamName
 from ..state.standin import Faults, StandinCounts, StandinState
 from ..state.standin_report import StandinReport
-from .validation import validate_json
+from .validation import read_file, validate_json
 
 STRICT = ConfigDict(extra="forbid")
 Share = Annotated[float, Field(ge=0, le=1)]
@@ -141,8 +140,4 @@
     :raises FileUnreadableError: the file cannot be read.
     :raises DocumentError: the file is no report.
     """
-    try:
-        data = path.read_bytes()
-    except OSError as error:
-        raise FileUnreadableError(file=path, reason=error) from error
-    return decode_report(data, str(path))
+    return decode_report(read_file(path), str(path))
--- a/src/chervilstage/protocol/validation.py
+++ b/src/chervilstage/protocol/validation.py
@@ -11,6 +11,17 @@
 from ..errors.settings import DocumentError, FileUnreadableError, TomlSyntaxError
 
 
+def read_file(path: Path) -> bytes:
+    """Read a file.
+
+    :raises FileUnreadableError: the file cannot be read.
+    """
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise FileUnreadableError(file=path, reason=error) from error
+
+
 def read_toml(path: Path) -> dict[str, Any]:
     """Read a TOML file.
 
--- /dev/null
+++ b/src/chervilstage/state/load_plan.py
@@ -0,0 +1,106 @@
+"""The plan of a load run."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .types import Address
+
+
+class EntryTarget(NamedTuple):
+    """An entry that callers use, and its data centre."""
+
+    host: str
+    data_centre: str
+
+
+class StandinSource(NamedTuple):
+    """Where the counters of a stand-in come from.
+
+    ``counters_file`` is written when the stand-in ends; empty if there is none.
+    """
+
+    control: Address
+    counters_file: str = ""
+
+
+class FlowLoad(NamedTuple):
+    """Flows of datagrams to one service.
+
+    ``packets_per_second`` is the rate of all callers together. ``subscribe`` asks the
+    upstream for the updates of a feed.
+    """
+
+    service: str
+    port: int
+    callers: int
+    packets_per_second: float
+    payload_bytes: int = 64
+    subscribe: bool = False
+
+
+class FeedLoad(NamedTuple):
+    """Callers that each hold an endless HTTP answer open."""
+
+    service: str
+    port: int
+    callers: int
+    path: str = "/feed"
+
+
+class RequestLoad(NamedTuple):
+    """Requests or uploads at a set rate.
+
+    ``attempts`` bounds how often a caller sends one request; it waits ``patience_ms``
+    for an answer and then asks another entry. ``timeout_ms`` is the deadline that the
+    request carries. ``leave_share`` of the callers close the connection before the
+    answer, and ``half_sent_share`` close it in the middle of the body.
+    """
+
+    name: str
+    service: str
+    port: int
+    method: str
+    path: str
+    per_second: float
+    keyed: bool = False
+    attempts: int = 3
+    patience_ms: int = 2_000
+    timeout_ms: int = 2_000
+    body_bytes: int = 0
+    answer_bytes: int = 0
+    leave_share: float = 0.0
+    half_sent_share: float = 0.0
+
+
+class LoadPlan(NamedTuple):
+    """A whole plan.
+
+    ``settle_seconds`` is how long answers are awaited after the load has ended.
+    ``planned`` says that every change during the run is planned, so that no request
+    may be cut.
+    """
+
+    seed: int
+    seconds: float
+    entries: tuple[EntryTarget, ...]
+    settle_seconds: float = 3.0
+    caller_host: str = "127.0.0.1"
+    planned: bool = False
+    marks_file: str = ""
+    flows: tuple[FlowLoad, ...] = ()
+    feeds: tuple[FeedLoad, ...] = ()
+    requests: tuple[RequestLoad, ...] = ()
+    standins: tuple[StandinSource, ...] = ()
+
+
+class Mark(NamedTuple):
+    """A fault or change at a time, in seconds of the wall clock.
+
+    The words ``out``, ``back``, ``upstream-killed`` and ``entry-killed`` with a name
+    decide how broken flows are counted; any other word is a label of the plot.
+    """
+
+    at: float
+    word: str
+    name: str = ""
--- /dev/null
+++ b/src/chervilstage/state/load_report.py
@@ -0,0 +1,77 @@
+"""The report of a load run."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .load_plan import Mark
+
+
+class Promise(NamedTuple):
+    """A promise of the design page and whether it held.
+
+    ``violations`` is how often it was broken and ``checked`` how many cases were
+    looked at; a promise with nothing checked was not tested.
+    """
+
+    name: str
+    violations: int
+    checked: int
+    detail: str = ""
+
+
+class Latency(NamedTuple):
+    """Quantiles of a latency, in milliseconds."""
+
+    name: str
+    samples: int
+    p50: float
+    p90: float
+    p99: float
+    p999: float
+    maximum: float
+
+
+class RequestSummary(NamedTuple):
+    """What became of the requests of one load and home data centre.
+
+    ``in_time`` counts those answered whole within their deadline, retries included;
+    ``due`` leaves out callers that left and half-sent uploads.
+    """
+
+    load: str
+    home: str
+    due: int
+    in_time: int
+    outcomes: Mapping[str, int]
+
+
+class Imbalance(NamedTuple):
+    """The busiest upstream of a service over the mean."""
+
+    service: str
+    what: str
+    upstreams: int
+    ratio: float
+
+
+class LoadReport(NamedTuple):
+    """The whole report; series count by second from the start of the run."""
+
+    started_at: float
+    seconds: float
+    promises: tuple[Promise, ...]
+    requests: tuple[RequestSummary, ...]
+    latencies: tuple[Latency, ...]
+    imbalances: tuple[Imbalance, ...]
+    counts: Mapping[str, int]
+    broken_flows: Mapping[str, int]
+    findings: tuple[str, ...]
+    marks: tuple[Mark, ...]
+    series: Mapping[str, Mapping[int, int]]
+
+
+def promises_held(report: LoadReport) -> bool:
+    """Tell whether no promise was broken."""
+    return all(promise.violations == 0 for promise in report.promises)
--- /dev/null
+++ b/src/chervilstage/state/load_results.py
@@ -0,0 +1,155 @@
+"""What callers of a load run have seen."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import StrEnum
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from .load_packets import UpstreamName
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 600_000_000
+SIGNIFICANT_DIGITS = 3
+MAXIMUM_DETAILS = 50
+BUCKETS_PER_SECOND = 10
+
+
+class Outcome(StrEnum):
+    """How an attempt ended for its caller.
+
+    ``UNREACHABLE`` is an entry that took no connection, ``CUT`` a connection that
+    broke after the request was sent, ``TIMED_OUT`` a caller whose patience ended,
+    ``REFUSED`` an error that is neither *not run* nor *unknown*.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    UNREACHABLE = "unreachable"
+    CUT = "cut"
+    TIMED_OUT = "timed_out"
+    REFUSED = "refused"
+    LEFT = "left"
+    HALF_SENT = "half_sent"
+
+
+class Fault(StrEnum):
+    """What is wrong with an answer."""
+
+    DAMAGED = "damaged"
+    NOT_OWN = "not_own"
+    OTHER_SERVICE = "other_service"
+    SECOND_RUN = "second_run"
+    GAP_IN_FEED = "gap_in_feed"
+
+
+class Finding(NamedTuple):
+    """A fault that a check has found; ``at`` is in seconds of the wall clock."""
+
+    fault: Fault
+    at: float
+    detail: str
+
+
+class FlowBreak(NamedTuple):
+    """A flow that was answered by another upstream than before."""
+
+    flow: str
+    at: float
+    before: UpstreamName
+    after: UpstreamName
+
+
+class AttemptRecord(NamedTuple):
+    """One attempt of a caller; ``name`` is unique in the run."""
+
+    name: str
+    entry: str
+    outcome: Outcome
+
+
+class RequestRecord(NamedTuple):
+    """A request whose caller has stopped trying.
+
+    ``home`` is the data centre of the entry that was asked first; ``seconds`` counts
+    from when the request was due.
+    """
+
+    load: str
+    key: str
+    home: str
+    due_at: float
+    seconds: float
+    in_time: bool
+    attempts: tuple[AttemptRecord, ...]
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return how the last attempt ended."""
+        return self.attempts[-1].outcome
+
+
+class FlowRecord:
+    """What one flow's caller has seen.
+
+    :param name: unique in the run.
+    """
+
+    def __init__(self, *, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.upstream: UpstreamName | None = None
+        self.sent_at: dict[int, float] = {}
+        self.sent = 0
+        self.answered = 0
+        self.unanswered_in_row = 0
+        self.updates = 0
+
+
+class LoadResults:
+    """Everything that the callers of one run have seen.
+
+    ``served`` counts answers by the data centre of the upstream and the tenth of a
+    second in which the packet or request was sent.
+    """
+
+    def __init__(self) -> None:
+        self.flows: dict[str, FlowRecord] = {}
+        self.breaks: list[FlowBreak] = []
+        self.requests: list[RequestRecord] = []
+        self.faults: Counter[Fault] = Counter()
+        self.findings: list[Finding] = []
+        self.series: dict[str, Counter[int]] = {}
+        self.served: Counter[tuple[str, int]] = Counter()
+        self.answered_by: Counter[tuple[str, str]] = Counter()
+        self.counts: Counter[str] = Counter()
+        self.latencies: dict[str, HdrHistogram] = {}
+
+    def find(self, finding: Finding) -> None:
+        """Keep a finding; details are bounded, counts are not."""
+        self.faults[finding.fault] += 1
+        if len(self.findings) < MAXIMUM_DETAILS:
+            self.findings.append(finding)
+
+    def mark_second(self, series: str, at: float) -> None:
+        """Add one to a series over time."""
+        self.series.setdefault(series, Counter())[int(at)] += 1
+
+    def serve(self, upstream: UpstreamName, sent_at: float) -> None:
+        """Count an answer by data centre and time of sending."""
+        bucket = int(sent_at * BUCKETS_PER_SECOND)
+        self.served[(upstream.data_centre, bucket)] += 1
+
+    def add_latency(self, name: str, seconds: float) -> None:
+        """Record a latency."""
+        histogram = self.latencies.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(
+                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+            )
+            self.latencies[name] = histogram
+        microseconds = max(LOWEST_MICROSECONDS, int(seconds * 1_000_000))
+        histogram.record_value(min(microseconds, HIGHEST_MICROSECONDS))
--- /dev/null
+++ b/src/chervilstage/transport/load_packets.py
@@ -0,0 +1,103 @@
+"""The callers of a load run that send datagrams."""
+
+from __future__ import annotations
+
+import socket
+import time
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..coordination.load_checks import send_packet, take_packet_answer, take_update
+from ..coordination.load_schedule import PacketDue, packet_body, packet_schedule
+from ..errors.load import LoadPacketError
+from ..protocol.load_packets import decode_answer, encode_packet
+from ..state.load_packets import CallerPacket, FeedUpdate
+from ..state.load_plan import FlowLoad, LoadPlan
+from ..state.load_results import Fault, Finding, FlowRecord, LoadResults
+from .datagrams import open_datagram_socket, receive_datagrams, send_datagram
+
+SEND_BATCH = 32
+
+
+class PacketCaller:
+    """One caller, with a socket of its own, and its flow."""
+
+    def __init__(
+        self, *, flow: FlowRecord, load: FlowLoad, plan: LoadPlan, results: LoadResults
+    ) -> None:
+        self.flow = flow
+        self.load = load
+        self.plan = plan
+        self.results = results
+        self.sock: socket.socket = open_datagram_socket(plan.caller_host, 0)
+
+    def body(self, sequence: int) -> bytes:
+        """Return the payload of a packet of this flow."""
+        size = self.load.payload_bytes
+        return packet_body(self.plan.seed, self.flow.name, sequence, size)
+
+    def send(self, due: PacketDue) -> None:
+        """Send one packet to the entry that the schedule names."""
+        packet = CallerPacket(
+            service=self.load.service,
+            flow=self.flow.name,
+            sequence=due.sequence,
+            subscribe=self.load.subscribe,
+            body=self.body(due.sequence),
+        )
+        send_packet(self.flow, due.sequence, time.time())
+        entry = (self.plan.entries[due.entry].host, self.load.port)
+        if not send_datagram(self.sock, encode_packet(packet), entry):
+            self.results.counts["packets_not_taken"] += 1
+
+    def receive(self, data: bytes, sender: tuple[str, int]) -> None:
+        """Check one packet that came back."""
+        now = time.time()
+        try:
+            answer = decode_answer(data)
+        except LoadPacketError as error:
+            detail = f"{self.flow.name}: {error}"
+            self.results.find(Finding(fault=Fault.DAMAGED, at=now, detail=detail))
+            return
+        if isinstance(answer, FeedUpdate):
+            take_update(self.results, self.flow, answer, now)
+            return
+        body = self.body(answer.packet.sequence)
+        take_packet_answer(self.results, self.flow, answer, body, now)
+
+
+def open_callers(plan: LoadPlan, results: LoadResults) -> list[list[PacketCaller]]:
+    """Open the sockets of all callers, by load."""
+    callers = []
+    for index, load in enumerate(plan.flows):
+        flows = [
+            FlowRecord(name=f"f{index}-{number}", service=load.service)
+            for number in range(load.callers)
+        ]
+        results.flows.update({flow.name: flow for flow in flows})
+        callers.append(
+            [
+                PacketCaller(flow=flow, load=load, plan=plan, results=results)
+                for flow in flows
+            ]
+        )
+    return callers
+
+
+async def run_packets(
+    group: TaskGroup, plan: LoadPlan, results: LoadResults, started: float
+) -> None:
+    """Send the packets of the plan at their times.
+
+    :param group: runs the receivers, which go on after the last packet is sent.
+    :param started: the start of the run, in seconds of the loop's clock.
+    """
+    callers = open_callers(plan, results)
+    for caller in (one for load in callers for one in load):
+        group.start_soon(receive_datagrams, caller.sock, caller.receive)
+    for number, due in enumerate(packet_schedule(plan)):
+        early = started + due.at - anyio.current_time()
+        if early > 0 or number % SEND_BATCH == 0:
+            await anyio.sleep(max(early, 0))
+        callers[due.load][due.caller].send(due)
--- /dev/null
+++ b/src/chervilstage/transport/load_requests.py
@@ -0,0 +1,225 @@
+"""The callers of a load run that send requests and uploads."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+
+import anyio
+import h11
+from anyio.abc import TaskGroup
+
+from ..coordination.load_checks import (
+    ExpectedAnswer,
+    RequestContent,
+    RequestIdentity,
+    check_answer,
+    classify,
+)
+from ..coordination.load_schedule import (
+    RequestDue,
+    make_key,
+    next_entry,
+    packet_body,
+    request_schedule,
+)
+from ..errors.requests import MalformedRequestError
+from ..errors.settings import DocumentError
+from ..protocol.load_answers import decode_request_answer
+from ..state.load_plan import LoadPlan, RequestLoad
+from ..state.load_results import (
+    AttemptRecord,
+    Fault,
+    Finding,
+    LoadResults,
+    Outcome,
+    RequestRecord,
+)
+from ..state.types import Address
+from .http_client import MAXIMUM_ANSWER_BYTES
+from .http_connection import HttpConnection, HttpResponse, header_list, header_map
+
+CONNECT_SECONDS = 1.0
+RETRY_SECONDS = 0.05
+LEAVE_SECONDS = 0.005
+SERIES_OF_OUTCOME = {outcome: outcome.value.replace("_", " ") for outcome in Outcome}
+
+
+class RequestCaller:
+    """One caller and its request, with all its attempts.
+
+    :param due_at: when the request was due, in seconds of the wall clock.
+    """
+
+    def __init__(
+        self, *, plan: LoadPlan, due: RequestDue, results: LoadResults, due_at: float
+    ) -> None:
+        self.load: RequestLoad = plan.requests[due.load]
+        self.plan = plan
+        self.due = due
+        self.results = results
+        self.due_at = due_at
+        self.name = f"{self.load.name}-{due.number}"
+        self.home = plan.entries[due.entries[0]].data_centre
+        self.key = ""
+        if self.load.keyed:
+            self.key = make_key(int(time.time() * 1000), self.home, due.token)
+        self.body = packet_body(plan.seed, self.name, 0, self.load.body_bytes)
+        self.whole = True
+
+    async def run(self) -> None:
+        """Try until there is an answer or the caller gives up."""
+        attempts: list[AttemptRecord] = []
+        entry: int | None = self.due.entries[0]
+        while entry is not None:
+            host = self.plan.entries[entry].host
+            name = f"{self.name}.{len(attempts) + 1}"
+            outcome = await self.attempt(host, name, len(attempts) + 1)
+            attempts.append(AttemptRecord(name=name, entry=host, outcome=outcome))
+            entry = next_entry(self.load, self.due, len(attempts), outcome)
+            if entry is not None:
+                await anyio.sleep(RETRY_SECONDS)
+        self.record(tuple(attempts))
+
+    def record(self, attempts: tuple[AttemptRecord, ...]) -> None:
+        """Keep what became of the request."""
+        seconds = time.time() - self.due_at
+        outcome = attempts[-1].outcome
+        answered = outcome is Outcome.ANSWERED
+        self.results.mark_second(SERIES_OF_OUTCOME[outcome], time.time())
+        if answered:
+            self.results.add_latency(f"requests {self.load.name}", seconds)
+        self.results.requests.append(
+            RequestRecord(
+                load=self.load.name,
+                key=self.key,
+                home=self.home,
+                due_at=self.due_at,
+                seconds=seconds,
+                in_time=answered
+                and self.whole
+                and seconds * 1000 <= self.load.timeout_ms,
+                attempts=attempts,
+            )
+        )
+
+    async def attempt(self, host: str, name: str, number: int) -> Outcome:
+        """Send the request once and return how that ended."""
+        address = Address(host=host, port=self.load.port)
+        try:
+            with anyio.fail_after(CONNECT_SECONDS):
+                stream = await anyio.connect_tcp(*address)
+        except (OSError, TimeoutError):
+            return Outcome.UNREACHABLE
+        async with stream:
+            connection = HttpConnection(stream=stream, role=h11.CLIENT)
+            try:
+                with anyio.fail_after(self.load.patience_ms / 1000):
+                    return await self.exchange(connection, address, name, number)
+            except TimeoutError:
+                return Outcome.TIMED_OUT
+            except (OSError, anyio.BrokenResourceError, MalformedRequestError):
+                self.results.mark_second("cut attempts", time.time())
+                return Outcome.CUT
+
+    async def exchange(
+        self, connection: HttpConnection, address: Address, name: str, number: int
+    ) -> Outcome:
+        """Send the request over an open connection and check the answer."""
+        sent_at = time.time()
+        request = h11.Request(
+            method=self.load.method,
+            target=self.load.path,
+            headers=header_list(self.headers(address, name, number)),
+        )
+        await connection.send(request)
+        if self.due.half_sent:
+            await connection.send(h11.Data(data=self.body[: len(self.body) // 2]))
+            return Outcome.HALF_SENT
+        if self.body:
+            await connection.send(h11.Data(data=self.body))
+        await connection.send(h11.EndOfMessage())
+        if self.due.leaves:
+            await anyio.sleep(LEAVE_SECONDS)
+            return Outcome.LEFT
+        event = await connection.next_event()
+        if not isinstance(event, h11.Response):
+            raise anyio.BrokenResourceError
+        answer = HttpResponse(
+            status=event.status_code,
+            headers=header_map(event.headers),
+            body=await connection.read_body(MAXIMUM_ANSWER_BYTES),
+        )
+        return self.check(answer, sent_at)
+
+    def headers(self, address: Address, name: str, number: int) -> dict[str, str]:
+        """Return the headers of an attempt."""
+        headers = {
+            "host": f"{address.host}:{address.port}",
+            "content-length": str(len(self.body)),
+            "chervilstage-timeout-ms": str(self.load.timeout_ms),
+            "chervilstage-attempt": str(number),
+            "load-service": self.load.service,
+            "load-request": self.name,
+            "load-attempt": name,
+            "load-answer-bytes": str(self.load.answer_bytes),
+        }
+        if self.key:
+            headers["idempotency-key"] = self.key
+        return headers
+
+    def check(self, answer: HttpResponse, sent_at: float) -> Outcome:
+        """Check an answer and return how the attempt ended."""
+        outcome = classify(
+            answer.status, answer.headers.get("chervilstage-outcome", "")
+        )
+        if outcome is not Outcome.ANSWERED:
+            return outcome
+        now = time.time()
+        try:
+            content = decode_request_answer(answer.body)
+        except DocumentError as error:
+            detail = f"{self.name}: {error}"
+            findings = [Finding(fault=Fault.DAMAGED, at=now, detail=detail)]
+        else:
+            findings = check_answer(self.expected(), content, now)
+            self.results.serve(content.upstream, sent_at)
+            upstream = (self.load.service, content.upstream.address)
+            self.results.answered_by[upstream] += 1
+        self.whole = not findings
+        for finding in findings:
+            self.results.find(finding)
+        return outcome
+
+    def expected(self) -> ExpectedAnswer:
+        """Return what the answer has to say."""
+        return ExpectedAnswer(
+            service=self.load.service,
+            identity=RequestIdentity(
+                method=self.load.method,
+                target=self.load.path,
+                key=self.key,
+                request=self.name,
+            ),
+            content=RequestContent(
+                body_bytes=len(self.body),
+                body_hash=hashlib.sha256(self.body).hexdigest(),
+                answer_bytes=self.load.answer_bytes,
+            ),
+        )
+
+
+async def run_requests(
+    group: TaskGroup, plan: LoadPlan, results: LoadResults, started: float
+) -> None:
+    """Start each request at its time, whatever became of the others.
+
+    :param started: the start of the run, in seconds of the loop's clock.
+    """
+    wall = time.time() - anyio.current_time() + started
+    for due in request_schedule(plan):
+        await anyio.sleep(max(0.0, started + due.at - anyio.current_time()))
+        caller = RequestCaller(
+            plan=plan, due=due, results=results, due_at=wall + due.at
+        )
+        group.start_soon(caller.run)
--- /dev/null
+++ b/testing/coordination/test_load_checks.py
@@ -0,0 +1,152 @@
+"""The checks of the load tool find what is planted."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hypothesis import given, strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from chervilstage.coordination.load_checks import (
+    ExpectedAnswer,
+    RequestAnswer,
+    RequestContent,
+    RequestIdentity,
+    check_answer,
+    check_feed_line,
+    classify,
+    send_packet,
+    take_packet_answer,
+    take_update,
+)
+from chervilstage.coordination.load_schedule import packet_body
+from chervilstage.state.load_packets import (
+    CallerPacket,
+    FeedUpdate,
+    PacketAnswer,
+    UpstreamName,
+)
+from chervilstage.state.load_results import Fault, FlowRecord, LoadResults, Outcome
+
+FIRST = UpstreamName(
+    service="alley-desk", address="127.0.0.1:1", incarnation=1, data_centre="gl-erie"
+)
+SECOND = FIRST._replace(address="127.0.0.2:1")
+OTHER_SERVICE = FIRST._replace(service="league-ledger")
+OWN = RequestIdentity(
+    method="POST", target="/bookings", key="v1.1.gl-erie.a", request="bookings-1"
+)
+WHOLE = RequestContent(body_bytes=4, body_hash="h", answer_bytes=10)
+EXPECTED = ExpectedAnswer(service="alley-desk", identity=OWN, content=WHOLE)
+ANSWER = RequestAnswer(upstream=FIRST, identity=OWN, content=WHOLE, run=1)
+PLANTED = [
+    (ANSWER._replace(identity=OWN._replace(request="bookings-2")), Fault.NOT_OWN),
+    (ANSWER._replace(identity=OWN._replace(key="v1.1.gl-erie.b")), Fault.NOT_OWN),
+    (ANSWER._replace(identity=OWN._replace(target="/other")), Fault.NOT_OWN),
+    (ANSWER._replace(identity=OWN._replace(method="PUT")), Fault.NOT_OWN),
+    (ANSWER._replace(content=WHOLE._replace(body_bytes=3)), Fault.DAMAGED),
+    (ANSWER._replace(content=WHOLE._replace(body_hash="i")), Fault.DAMAGED),
+    (ANSWER._replace(content=WHOLE._replace(answer_bytes=9)), Fault.DAMAGED),
+    (ANSWER._replace(run=2), Fault.SECOND_RUN),
+    (ANSWER._replace(upstream=OTHER_SERVICE), Fault.OTHER_SERVICE),
+]
+
+
+def packet_of(flow: FlowRecord, sequence: int) -> CallerPacket:
+    """Return a packet of a flow."""
+    return CallerPacket(
+        service=flow.service,
+        flow=flow.name,
+        sequence=sequence,
+        subscribe=False,
+        body=packet_body(1, flow.name, sequence, 40),
+    )
+
+
+class FlowCase(NamedTuple):
+    """A run with two flows."""
+
+    results: LoadResults
+    flow: FlowRecord
+    other: FlowRecord
+
+
+def flow_case() -> FlowCase:
+    """Return two flows that have sent five packets each."""
+    flows = [FlowRecord(name=name, service="alley-desk") for name in ("f1", "f2")]
+    for flow in flows:
+        for sequence in range(1, 6):
+            send_packet(flow, sequence, 1.0)
+    return FlowCase(results=LoadResults(), flow=flows[0], other=flows[1])
+
+
+def receive(case: FlowCase, upstream: UpstreamName, packet: CallerPacket) -> None:
+    """Give the first flow an answer."""
+    body = packet_body(1, case.flow.name, packet.sequence, 40)
+    answer = PacketAnswer(upstream=upstream, packet=packet)
+    take_packet_answer(case.results, case.flow, answer, body, 2.0)
+
+
+class RequestAnswerTests(TestCase):
+    """Guards against checks of answers that cannot fail."""
+
+    def test_whole_and_own_answer_passes(self) -> None:
+        self.assertThat(check_answer(EXPECTED, ANSWER, 1.0), Equals([]))
+
+    def test_each_planted_fault_is_found(self) -> None:
+        for answer, fault in PLANTED:
+            findings = check_answer(EXPECTED, answer, 1.0)
+            self.assertThat([f.fault for f in findings], Equals([fault]))
+
+    def test_outcome_header_goes_before_the_status(self) -> None:
+        self.assertThat(classify(200, ""), Equals(Outcome.ANSWERED))
+        self.assertThat(classify(503, "not-run"), Equals(Outcome.NOT_RUN))
+        self.assertThat(classify(504, "unknown"), Equals(Outcome.UNKNOWN))
+        self.assertThat(classify(503, ""), Equals(Outcome.REFUSED))
+
+
+class FlowAnswerTests(TestCase):
+    """Guards against checks of flows that cannot fail."""
+
+    @given(st.permutations([1, 2, 3, 4, 5]), st.integers(0, 4))
+    def test_answers_in_any_order_pass_and_a_second_upstream_is_found(
+        self, order: list[int], position: int
+    ) -> None:
+        case = flow_case()
+        for sequence in order:
+            receive(case, FIRST, packet_of(case.flow, sequence))
+        self.assertThat(case.results.breaks, Equals([]))
+        self.assertThat(case.results.faults.total(), Equals(0))
+        broken = flow_case()
+        for number, sequence in enumerate(order):
+            upstream = SECOND if number == position else FIRST
+            receive(broken, upstream, packet_of(broken.flow, sequence))
+        self.assertTrue(broken.results.breaks)
+
+    def test_swapped_damaged_and_foreign_answers_are_found(self) -> None:
+        case = flow_case()
+        receive(case, FIRST, packet_of(case.other, 1))
+        receive(case, FIRST, packet_of(case.flow, 1)._replace(body=b"cut"))
+        receive(case, FIRST, packet_of(case.flow, 6))
+        self.assertThat(case.results.faults[Fault.NOT_OWN], Equals(3))
+        receive(case, OTHER_SERVICE, packet_of(case.flow, 1))
+        self.assertThat(case.results.faults[Fault.OTHER_SERVICE], Equals(1))
+
+    def test_update_of_another_flow_or_upstream_is_found(self) -> None:
+        case = flow_case()
+        receive(case, FIRST, packet_of(case.flow, 1))
+        update = FeedUpdate(upstream=FIRST, feed=case.flow.name, number=1)
+        take_update(case.results, case.flow, update, 2.0)
+        take_update(case.results, case.flow, update._replace(feed="f2"), 2.0)
+        take_update(case.results, case.flow, update._replace(upstream=SECOND), 2.0)
+        self.assertThat(case.results.faults[Fault.NOT_OWN], Equals(1))
+        self.assertThat(len(case.results.breaks), Equals(1))
+        self.assertThat(case.flow.updates, Equals(2))
+
+    def test_missing_line_of_a_feed_is_found(self) -> None:
+        results = LoadResults()
+        check_feed_line(results, "feed", b"free alleys 1", 1, 1.0)
+        self.assertThat(results.faults.total(), Equals(0))
+        check_feed_line(results, "feed", b"free alleys 3", 2, 1.0)
+        self.assertThat(results.faults[Fault.GAP_IN_FEED], Equals(1))
--- /dev/null
+++ b/testing/coordination/test_load_verdict.py
@@ -0,0 +1,185 @@
+"""The verdict of a load run breaks for each planted violation."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from hypothesis import given, strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from chervilstage.coordination.load_summary import make_report
+from chervilstage.coordination.load_verdict import BreakCause, break_cause, judge
+from chervilstage.state.load_packets import UpstreamName
+from chervilstage.state.load_plan import EntryTarget, LoadPlan, Mark
+from chervilstage.state.load_report import promises_held
+from chervilstage.state.load_results import (
+    AttemptRecord,
+    Fault,
+    Finding,
+    FlowBreak,
+    FlowRecord,
+    LoadResults,
+    Outcome,
+    RequestRecord,
+)
+from chervilstage.state.standin import StandinCounts
+from chervilstage.state.standin_report import StandinReport
+
+UPSTREAM = UpstreamName(
+    service="alley-desk", address="127.0.0.1:1", incarnation=1, data_centre="gl-erie"
+)
+MOVED = UPSTREAM._replace(address="127.0.0.2:1", data_centre="gl-huron")
+BREAK = FlowBreak(flow="f1", at=20.0, before=UPSTREAM, after=MOVED)
+PLAN = LoadPlan(
+    seed=1,
+    seconds=10,
+    planned=True,
+    entries=(EntryTarget(host="127.0.0.1", data_centre="gl-erie"),),
+)
+REPORT = StandinReport(
+    upstream=UPSTREAM,
+    counts=StandinCounts(requests=2, started=2, packets=5),
+    slots=4,
+    most_in_flight=1,
+    leaving_at=50.0,
+    last_new_work_at=51.9,
+    last_packet_at=0.0,
+    last_request_at=0.0,
+    runs={"answered": 1},
+    attempt_runs={"answered.1": 1},
+)
+
+
+class Run(NamedTuple):
+    """What a verdict is made from."""
+
+    results: LoadResults
+    reports: list[StandinReport]
+    marks: list[Mark]
+
+
+def request(key: str, outcome: Outcome) -> RequestRecord:
+    """Return a request with one attempt."""
+    attempt = AttemptRecord(name=f"{key}.1", entry="127.0.0.1", outcome=outcome)
+    return RequestRecord(
+        load="bookings",
+        key=key,
+        home="gl-erie",
+        due_at=1.0,
+        seconds=0.1,
+        in_time=outcome is Outcome.ANSWERED,
+        attempts=(attempt,),
+    )
+
+
+def clean_run() -> Run:
+    """Return a run in which each promise was looked at and held."""
+    results = LoadResults()
+    results.flows["f1"] = FlowRecord(name="f1", service="alley-desk")
+    results.flows["f1"].unanswered_in_row = 7
+    results.requests += [
+        request("answered", Outcome.ANSWERED),
+        request("refused", Outcome.NOT_RUN),
+        request("half", Outcome.HALF_SENT),
+    ]
+    results.serve(UPSTREAM, 32.9)
+    results.serve(MOVED, 34.0)
+    results.serve(UPSTREAM, 40.0)
+    marks = [Mark(at=30.0, word="out", name="gl-erie")]
+    marks.append(Mark(at=39.0, word="back", name="gl-erie"))
+    return Run(results=results, reports=[REPORT], marks=marks)
+
+
+def add_report(run: Run, **fields: object) -> None:
+    """Add the report of another stand-in."""
+    empty = REPORT._replace(counts=StandinCounts(), runs={}, attempt_runs={})
+    run.reports.append(empty._replace(**fields))  # type: ignore[arg-type]
+
+
+def find(fault: Fault) -> Callable[[Run], None]:
+    """Return a function that plants a finding."""
+    return lambda run: run.results.find(Finding(fault=fault, at=1.0, detail=""))
+
+
+def counts(**fields: int) -> Callable[[Run], None]:
+    """Return a function that plants counts of a stand-in."""
+    return lambda run: add_report(run, counts=StandinCounts(**fields))
+
+
+def stall(run: Run) -> None:
+    """Leave a flow without answers."""
+    run.results.flows["f1"].unanswered_in_row = 8
+
+
+VIOLATIONS: list[tuple[str, Callable[[Run], None]]] = [
+    ("1", lambda run: run.results.breaks.append(BREAK)),
+    ("1", stall),
+    ("2", counts(foreign_packets=1)),
+    ("2", counts(foreign_requests=1)),
+    ("2", find(Fault.OTHER_SERVICE)),
+    ("3", counts(over_capacity_cold=1)),
+    ("4", lambda run: run.results.serve(UPSTREAM, 33.1)),
+    ("5", find(Fault.DAMAGED)),
+    ("5", find(Fault.NOT_OWN)),
+    ("5", find(Fault.GAP_IN_FEED)),
+    ("6", lambda run: add_report(run, attempt_runs={"refused.1": 1})),
+    ("6", lambda run: add_report(run, runs={"refused": 1})),
+    ("7", lambda run: add_report(run, runs={"answered": 1})),
+    ("7", lambda run: add_report(run, runs={"half": 1})),
+    ("7", find(Fault.SECOND_RUN)),
+    ("8", lambda run: add_report(run, last_new_work_at=52.1)),
+    ("9", lambda run: run.results.requests.append(request("cut", Outcome.CUT))),
+]
+
+
+class VerdictTests(TestCase):
+    """Guards against promises whose check cannot fail."""
+
+    def test_clean_run_holds_and_looks_at_every_promise(self) -> None:
+        promises = judge(PLAN, *clean_run())
+        self.assertThat([p.violations for p in promises], Equals([0] * 9))
+        self.assertThat([p.name for p in promises if not p.checked], Equals([]))
+
+    def test_each_planted_violation_breaks_its_promise(self) -> None:
+        for number, plant in VIOLATIONS:
+            run = clean_run()
+            plant(run)
+            broken = [p.name[0] for p in judge(PLAN, *run) if p.violations]
+            self.assertThat(broken, Equals([number]))
+            report = make_report(PLAN, *run, started_at=1.0)
+            self.assertThat(promises_held(report), Equals(False))
+
+    def test_every_promise_has_a_planted_violation(self) -> None:
+        names = {p.name[0] for p in judge(PLAN, *clean_run())}
+        self.assertThat({number for number, _ in VIOLATIONS}, Equals(names))
+
+
+class BreakCauseTests(TestCase):
+    """Guards against excuses for flows that a planned change broke."""
+
+    @given(st.floats(0, 40), st.floats(0, 20))
+    def test_out_excuses_a_break_only_while_it_lasts(
+        self, out: float, lasts: float
+    ) -> None:
+        marks = [Mark(at=out, word="out", name="gl-huron")]
+        marks.append(Mark(at=out + lasts, word="back", name="gl-huron"))
+        excused = out <= BREAK.at < out + lasts
+        expected = BreakCause.DATA_CENTRE_OUT if excused else BreakCause.PLANNED
+        self.assertThat(break_cause(BREAK, marks), Equals(expected))
+
+    def test_kills_excuse_only_their_own_flows(self) -> None:
+        def cause(word: str, name: str, at: float) -> BreakCause:
+            return break_cause(BREAK, [Mark(at=at, word=word, name=name)])
+
+        address = UPSTREAM.address
+        lost = BreakCause.UPSTREAM_KILLED
+        self.assertThat(cause("upstream-killed", address, 19.0), Equals(lost))
+        for word, name, at in (
+            ("upstream-killed", "127.0.0.9:1", 19.0),
+            ("upstream-killed", address, 21.0),
+            ("entry-killed", "127.0.0.9", 14.0),
+            ("upstream-leaves", address, 19.0),
+        ):
+            self.assertThat(cause(word, name, at), Equals(BreakCause.PLANNED))
