--- a/src/chervilstage/protocol/load_plan.py
+++ b/src/chervilstage/protocol/load_plan.py
@@ -23,7 +23,7 @@
 from ..state.types import Address
 from .documents import Name, Port
 from .settings import Host
-from .validation import read_toml, validate
+from .validation import read_toml, repeated, validate
 
 LOOPBACK = IPv4Network("127.0.0.0/8")
 MAXIMUM_PACKETS_PER_SECOND = 20_000
@@ -144,9 +144,9 @@
     }
     plan = LoadPlan(**fields)
     _check_bounds(plan, path)
-    names = [r.name for r in plan.requests]
-    if len(set(names)) < len(names):
-        raise DocumentError(file=path, problems="requests.name: a name appears twice")
+    problems = repeated("requests.name", (r.name for r in plan.requests))
+    if problems:
+        raise DocumentError(file=str(path), problems=problems)
     return plan
 
 
@@ -176,7 +176,7 @@
     word, _, name = text.strip().partition(" ")
     if not at.replace(".", "", 1).isdecimal() or not word:
         problem = f"line {number}: not a time in seconds and a word: {line!r}"
-        raise DocumentError(file=path, problems=problem)
+        raise DocumentError(file=str(path), problems=[problem])
     return Mark(at=float(at), word=word, name=name)
 
 
