--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -29,6 +29,7 @@
     UpstreamRecord,
 )
 
+from .capacity_processes import daemon_slopes, idle_slopes
 from .slopes import Slope, bytes_held, measure_slope, processor_seconds
 
 KEY = b"k" * 32
@@ -218,7 +219,13 @@
 
 def main() -> None:
     """Print all slopes."""
-    for slopes in (membership_slopes, configuration_slopes, registry_slopes):
+    for slopes in (
+        membership_slopes,
+        configuration_slopes,
+        registry_slopes,
+        daemon_slopes,
+        idle_slopes,
+    ):
         for slope in slopes():
             print(slope.line(), flush=True)
 
