--- a/src/chervilstage/coordination/load_verdict.py
+++ b/src/chervilstage/coordination/load_verdict.py
@@ -22,6 +22,7 @@
 LEAVE_SECONDS = 2.0
 KILL_SECONDS = 5.0
 STALLED_PACKETS = 8
+ACCEPTED = "out-accepted"
 
 
 class BreakCause(StrEnum):
@@ -144,7 +145,9 @@
             continue
         backs = [m.at for m in marks if (m.word, m.name) == ("back", mark.name)]
         end = min((at for at in backs if at > mark.at), default=float("inf"))
-        windows.append((mark.name, mark.at, end))
+        accepted = [m.at for m in marks if (m.word, m.name) == (ACCEPTED, mark.name)]
+        begin = min((at for at in accepted if mark.at <= at < end), default=mark.at)
+        windows.append((mark.name, begin, end))
     return windows
 
 
@@ -186,10 +189,11 @@
 def _single_runs(results: LoadResults, reports: Sequence[StandinReport]) -> Promise:
     runs = _sum_runs([r.runs for r in reports])
     twice = [key for key, count in runs.items() if count > 1]
+    by_attempt = _sum_runs([r.attempt_runs for r in reports])
     half_sent = [
-        r.key
+        r.attempts[-1].name
         for r in results.requests
-        if r.outcome is Outcome.HALF_SENT and runs[r.key] > 0
+        if r.outcome is Outcome.HALF_SENT and by_attempt[r.attempts[-1].name] > 0
     ]
     answered_again = results.faults[Fault.SECOND_RUN]
     return Promise(
--- a/src/chervilstage/state/load_plan.py
+++ b/src/chervilstage/state/load_plan.py
@@ -97,8 +97,9 @@
 class Mark(NamedTuple):
     """A fault or change at a time, in seconds of the wall clock.
 
-    The words ``out``, ``back``, ``upstream-killed`` and ``entry-killed`` with a name
-    decide how broken flows are counted; any other word is a label of the plot.
+    The words ``out`` (before operators ask), ``out-accepted``, ``back``,
+    ``upstream-killed`` and ``entry-killed`` with a name decide how the run is judged;
+    any other word is a label of the plot.
     """
 
     at: float
