--- a/testing/protocol/test_fuzz_decoders.py
+++ b/testing/protocol/test_fuzz_decoders.py
@@ -14,9 +14,9 @@
 from chervilstage import protocol
 from chervilstage.errors import ChervilstageError
 from chervilstage.protocol.envelope import Envelope, decode_envelope, encode_envelope
+from chervilstage.protocol.kinds import Kind
 
 KEY = b"k" * 32
-EXTRA_ARGUMENTS: dict[str, object] = {"key": KEY, "source": "fuzz"}
 
 
 def decoders() -> list[Callable[..., Any]]:
@@ -31,13 +31,15 @@
 
 
 def decode(decoder: Callable[..., Any], data: bytes) -> None:
-    """Decode and accept only typed errors."""
-    parameters = list(inspect.signature(decoder).parameters)[1:]
-    arguments = [EXTRA_ARGUMENTS[name] for name in parameters]
-    try:
-        decoder(data, *arguments)
-    except ChervilstageError as error:
-        assert error.code
+    """Decode, as each kind where there are several, and accept only typed errors."""
+    names = inspect.signature(decoder).parameters
+    known = {"data": data, "key": KEY, "source": "fuzz"}
+    for kind in Kind if "kind" in names else (Kind.HEARTBEAT,):
+        arguments = {name: {**known, "kind": kind}[name] for name in names}
+        try:
+            decoder(**arguments)
+        except ChervilstageError as error:
+            assert error.code
 
 
 @pytest.mark.parametrize("decoder", decoders(), ids=lambda d: d.__name__)
