Spread upstream records by deltas, refreshes and repairing digests

Each announcement was broadcast whole to all peers: 10 upstreams that announce to one entry once a second would cost that entry 10 x 3 x some 130 bytes, about 3.9 KB/s, and a lost message was only repaired by the next announcement. News (a new incarnation, phase or service) now goes out at once; sequences and loads go out every 0.5 s as a digest of 8-byte keys; a full digest to one random peer every 5 s repairs what was missed. Leaving is repeated for 10 s.

Leaving is merged as a flag of the incarnation, so the order of messages does not matter, and the last record of a removed upstream is kept for 2 hours so that an old message does not bring it back.

Ruled out: repeating whole records (traffic), acknowledging each record to each peer (state per peer and record).

Guards removed one at a time on a scratch copy, each with a failing test: - sticky leaving, tombstones: test_old_or_crossed_messages_never_undo_leaving - repeats of leaving: test_leaving_is_known_within_two_seconds_despite_loss - fetch of unknown keys: test_entry_that_restarts_gets_all_records - order of versions: test_records_converge_and_leaving_stays With the guards all pass.

--- /dev/null
+++ b/src/chervilstage/coordination/registration.py
@@ -0,0 +1,239 @@
+"""The spread of upstream records between entries: deltas, refreshes and repair."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+from typing import NamedTuple
+
+from ..state.members import MemberTable
+from ..state.registry import UpstreamRegistry, is_leaving
+from ..state.spread import DigestItem, SpreadState
+from ..state.types import Address, UpstreamPhase, UpstreamRecord
+from ..state.upstream_keys import upstream_key
+
+REFRESH_SECONDS = 0.5
+FULL_DIGEST_SECONDS = 5.0
+# Repeats outlast the loss of several refreshes in a row; the first four fall into the
+# 2 s within which leaving has to take effect.
+LEAVING_REPEAT_SECONDS = 10.0
+SILENT_SECONDS = 5.0
+# Regions lose each other for an hour now and then.
+UNREACHABLE_KEPT_SECONDS = 7_200.0
+RECORDS_PER_MESSAGE = 10
+ITEMS_PER_DIGEST = 50
+
+
+class SendRecords(NamedTuple):
+    """Send whole records to a peer."""
+
+    peer: str
+    records: tuple[UpstreamRecord, ...]
+
+
+class SendDigest(NamedTuple):
+    """Send the newest sequences to a peer."""
+
+    peer: str
+    items: tuple[DigestItem, ...]
+
+
+class FetchRecords(NamedTuple):
+    """Ask a peer for the records of these keys."""
+
+    peer: str
+    keys: tuple[int, ...]
+
+
+Effect = SendRecords | SendDigest | FetchRecords
+
+
+def take_announcement(
+    registry: UpstreamRegistry,
+    spread: SpreadState,
+    table: MemberTable,
+    record: UpstreamRecord,
+    now: float,
+) -> list[Effect]:
+    """Take an announcement that an upstream sent to this entry.
+
+    What is new beyond sequence and load goes to all peers at once; the rest waits for
+    the next refresh.
+    """
+    address = record.identity.address
+    before = registry.records.get(address)
+    if not registry.merge(record, now):
+        return []
+    spread.fresh.add(address)
+    after = registry.records[address]
+    _note_leaving(spread, before, after, now)
+    if not is_news(before, after):
+        return []
+    return [SendRecords(peer=p, records=(after,)) for p in sorted(table.members)]
+
+
+def is_news(before: UpstreamRecord | None, after: UpstreamRecord) -> bool:
+    """Tell whether two records differ in more than sequence and load."""
+    if before is None:
+        return True
+    return before._replace(sequence=after.sequence, load=after.load) != after
+
+
+def receive_records(
+    registry: UpstreamRegistry,
+    spread: SpreadState,
+    sender: str,
+    records: Sequence[UpstreamRecord],
+    now: float,
+) -> list[Effect]:
+    """Merge the records of a peer and answer outdated ones with newer ones."""
+    newer: list[UpstreamRecord] = []
+    for record in records:
+        address = record.identity.address
+        before = registry.records.get(address)
+        if registry.merge(record, now):
+            _note_leaving(spread, before, registry.records[address], now)
+            continue
+        held = registry.known(address)
+        if held is not None and is_news(record, held):
+            newer.append(held)
+    return _record_messages(sender, newer)
+
+
+def make_refresh(
+    registry: UpstreamRegistry,
+    spread: SpreadState,
+    table: MemberTable,
+    now: float,
+    rng: Random,
+) -> list[Effect]:
+    """Return the digests of one refresh interval.
+
+    Every live peer gets what is fresh; now and then one random peer gets all, which
+    repairs what was missed.
+    """
+    for address, until in list(spread.leaving_until.items()):
+        if now >= until or address not in registry.records:
+            del spread.leaving_until[address]
+    addresses = sorted(spread.fresh | set(spread.leaving_until))
+    spread.fresh.clear()
+    items = [_item(registry.records[a]) for a in addresses if a in registry.records]
+    peers = sorted(table.live_names)
+    effects = [e for peer in peers for e in _digest_messages(peer, items)]
+    if peers and now >= spread.full_digest_at:
+        spread.full_digest_at = now + FULL_DIGEST_SECONDS
+        effects += full_digest(registry, rng.choice(peers))
+    return effects
+
+
+def full_digest(registry: UpstreamRegistry, peer: str) -> list[Effect]:
+    """Return a digest of all reachable records for a peer."""
+    items = [
+        _item(record)
+        for address, record in sorted(registry.records.items())
+        if address not in registry.unreachable
+    ]
+    return _digest_messages(peer, items)
+
+
+def receive_digest(
+    registry: UpstreamRegistry,
+    spread: SpreadState,
+    sender: str,
+    items: Sequence[DigestItem],
+    now: float,
+) -> list[Effect]:
+    """Take newer sequences, fetch unknown records, correct a missed leaving."""
+    unknown: list[int] = []
+    missed: list[UpstreamRecord] = []
+    for item in items:
+        held = registry.find(item.key)
+        if held is None:
+            unknown.append(item.key)
+            continue
+        phase = UpstreamPhase.LEAVING if item.leaving else UpstreamPhase.READY
+        newer = held._replace(sequence=item.sequence, load=item.load, phase=phase)
+        registry.merge(newer, now)
+        after = registry.records[held.identity.address]
+        _note_leaving(spread, held, after, now)
+        if is_leaving(after) and not item.leaving:
+            missed.append(after)
+    effects: list[Effect] = list(_record_messages(sender, missed))
+    if unknown:
+        effects.append(FetchRecords(peer=sender, keys=tuple(unknown)))
+    return effects
+
+
+def answer_fetch(
+    registry: UpstreamRegistry, sender: str, keys: Sequence[int]
+) -> list[Effect]:
+    """Return the records that a peer asks for."""
+    found = [record for key in keys if (record := registry.find(key)) is not None]
+    return _record_messages(sender, found)
+
+
+def expire_records(
+    registry: UpstreamRegistry, table: MemberTable, now: float
+) -> list[UpstreamRecord]:
+    """Remove and return silent upstreams; keep those of cut-off data centres."""
+    removed: list[UpstreamRecord] = []
+    for address, record in list(registry.records.items()):
+        cut_off = not centre_reachable(table, record.data_centre)
+        if cut_off:
+            registry.unreachable.add(address)
+        elif address in registry.unreachable and _long_silent(registry, address, now):
+            # Announcements of a data centre that is back need time to arrive.
+            registry.heard_at[address] = now - SILENT_SECONDS / 2
+        bound = UNREACHABLE_KEPT_SECONDS if cut_off else SILENT_SECONDS
+        if now - registry.heard_at[address] > bound:
+            removed.append(registry.remove(address, now))
+    registry.forget_departed(now - UNREACHABLE_KEPT_SECONDS)
+    return removed
+
+
+def centre_reachable(table: MemberTable, data_centre: str) -> bool:
+    """Tell whether an entry of a data centre is live, or it has none at all."""
+    if data_centre == table.data_centre:
+        return True
+    peers = [m.peer for m in table.members.values()]
+    names = [p.name for p in peers if p.data_centre == data_centre]
+    return not names or any(name in table.live_names for name in names)
+
+
+def _long_silent(registry: UpstreamRegistry, address: Address, now: float) -> bool:
+    return now - registry.heard_at[address] > SILENT_SECONDS
+
+
+def _note_leaving(
+    spread: SpreadState,
+    before: UpstreamRecord | None,
+    after: UpstreamRecord,
+    now: float,
+) -> None:
+    was = before is not None and before.identity == after.identity
+    if is_leaving(after) and not (was and before and is_leaving(before)):
+        address = after.identity.address
+        spread.leaving_until[address] = now + LEAVING_REPEAT_SECONDS
+
+
+def _item(record: UpstreamRecord) -> DigestItem:
+    return DigestItem(
+        key=upstream_key(record.identity),
+        sequence=record.sequence,
+        load=record.load,
+        leaving=is_leaving(record),
+    )
+
+
+def _record_messages(peer: str, records: Sequence[UpstreamRecord]) -> list[Effect]:
+    return [
+        SendRecords(peer=peer, records=tuple(records[i : i + RECORDS_PER_MESSAGE]))
+        for i in range(0, len(records), RECORDS_PER_MESSAGE)
+    ]
+
+
+def _digest_messages(peer: str, items: Sequence[DigestItem]) -> list[Effect]:
+    return [
+        SendDigest(peer=peer, items=tuple(items[i : i + ITEMS_PER_DIGEST]))
+        for i in range(0, len(items), ITEMS_PER_DIGEST)
+    ]
--- a/src/chervilstage/protocol/schema/upstreams.capnp
+++ b/src/chervilstage/protocol/schema/upstreams.capnp
@@ -16,3 +16,18 @@
 struct UpstreamRecords {
   records @0 :List(UpstreamRecord);
 }
+
+struct DigestItem {
+  key @0 :UInt64;
+  sequence @1 :UInt64;
+  load @2 :UInt16;
+  leaving @3 :Bool;
+}
+
+struct UpstreamDigest {
+  items @0 :List(DigestItem);
+}
+
+struct UpstreamFetch {
+  keys @0 :List(UInt64);
+}
--- a/src/chervilstage/protocol/upstream_messages.py
+++ b/src/chervilstage/protocol/upstream_messages.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from ..state.spread import DigestItem
 from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
 from .schemas import pack, schema, unpack
 
@@ -27,6 +28,42 @@
     return [_read(item) for item in message.records]
 
 
+def encode_digest(items: Sequence[DigestItem]) -> bytes:
+    """Return the encoding of a digest."""
+    message = schema("upstreams").UpstreamDigest.new_message()
+    message.items = [item._asdict() for item in items]
+    return pack(message)
+
+
+def decode_digest(data: bytes) -> list[DigestItem]:
+    """Decode a digest.
+
+    :raises EnvelopeFormatError: the bytes are no digest.
+    """
+    message = unpack(schema("upstreams").UpstreamDigest, data)
+    return [
+        DigestItem(
+            key=item.key, sequence=item.sequence, load=item.load, leaving=item.leaving
+        )
+        for item in message.items
+    ]
+
+
+def encode_fetch(keys: Sequence[int]) -> bytes:
+    """Return the encoding of a request for records."""
+    message = schema("upstreams").UpstreamFetch.new_message()
+    message.keys = list(keys)
+    return pack(message)
+
+
+def decode_fetch(data: bytes) -> list[int]:
+    """Decode a request for records.
+
+    :raises EnvelopeFormatError: the bytes are no such request.
+    """
+    return list(unpack(schema("upstreams").UpstreamFetch, data).keys)
+
+
 def _write(item: Any, record: UpstreamRecord) -> None:
     item.host, item.port = record.identity.address
     item.requestPort = record.request_address.port
--- a/src/chervilstage/state/registry.py
+++ b/src/chervilstage/state/registry.py
@@ -2,19 +2,43 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from .types import Address, UpstreamPhase, UpstreamRecord
+from .upstream_keys import upstream_key
+
+Version = tuple[int, str, int]
+
+
+class Departed(NamedTuple):
+    """The last record of an upstream that was removed, and when, in seconds."""
+
+    record: UpstreamRecord
+    at: float
 
 
 class UpstreamRegistry:
     """The newest record of each upstream address.
 
-    A record is newer by (incarnation, sequence). Leaving is sticky within an
-    incarnation, so that a delayed message cannot undo it.
+    A record is newer by (incarnation, sequence); two services that claim one address
+    under the same incarnation are ordered by name, so that all entries agree.
+    Leaving is sticky within an incarnation: it is taken from a late message too, and
+    no other message undoes it. The last record of a removed upstream is kept for a
+    time, so that an old message cannot bring it back.
+
+    ``heard_at`` is when something newer was last heard of an upstream.
+    ``unreachable`` holds the addresses in data centres that are cut off.
+    ``ramp_base`` is the sequence at which the ramp for flows started again.
     """
 
     def __init__(self) -> None:
         self.records: dict[Address, UpstreamRecord] = {}
         self.heard_at: dict[Address, float] = {}
+        self.by_key: dict[int, Address] = {}
+        self.departed: dict[Address, Departed] = {}
+        self.unreachable: set[Address] = set()
+        self.ramp_base: dict[Address, int] = {}
+        self.request_holder: dict[Address, Address] = {}
 
     def merge(self, record: UpstreamRecord, now: float) -> bool:
         """Take a record if it is newer than the one held.
@@ -23,39 +47,97 @@
         :returns: whether the record changed anything.
         """
         address = record.identity.address
-        held = self.records.get(address)
-        if held is not None and _version(record) <= _version(held):
+        known = self.known(address)
+        if known is None:
+            return self._put(record, now)
+        if known.identity == record.identity:
+            leaving = is_leaving(known) or is_leaving(record)
+            if record.sequence <= known.sequence:
+                return self._mark_leaving(address, known, leaving)
+            if leaving:
+                record = record._replace(phase=UpstreamPhase.LEAVING)
+            return self._put(record, now)
+        if _version(record) <= _version(known):
             return False
-        if held is not None and _is_leaving(held) and _same_run(held, record):
-            record = record._replace(phase=UpstreamPhase.LEAVING)
-        self.records[address] = record
-        self.heard_at[address] = now
-        return True
+        return self._put(record, now)
+
+    def known(self, address: Address) -> UpstreamRecord | None:
+        """Return the newest record known of an address, removed ones included."""
+        held = self.records.get(address)
+        if held is not None:
+            return held
+        departed = self.departed.get(address)
+        return departed.record if departed else None
+
+    def find(self, key: int) -> UpstreamRecord | None:
+        """Return the record of an upstream by its key."""
+        address = self.by_key.get(key)
+        return self.records.get(address) if address else None
 
     def of_service(self, service: str) -> list[UpstreamRecord]:
         """Return the records of a service, ordered by address."""
         found = [r for r in self.records.values() if r.identity.service == service]
         return sorted(found, key=lambda r: r.identity.address)
 
-    def expire(self, now: float, silent_seconds: float) -> list[UpstreamRecord]:
-        """Remove and return the records that have been silent for too long."""
-        expired = [
-            address
-            for address, heard in self.heard_at.items()
-            if now - heard > silent_seconds
-        ]
-        for address in expired:
-            del self.heard_at[address]
-        return [self.records.pop(address) for address in expired]
+    def remove(self, address: Address, now: float) -> UpstreamRecord:
+        """Remove a record and keep its version."""
+        record = self.records.pop(address)
+        self.departed[address] = Departed(record=record, at=now)
+        self.by_key.pop(upstream_key(record.identity), None)
+        self.heard_at.pop(address, None)
+        self.ramp_base.pop(address, None)
+        self.unreachable.discard(address)
+        if self.request_holder.get(record.request_address) == address:
+            del self.request_holder[record.request_address]
+        return record
+
+    def forget_departed(self, before: float) -> None:
+        """Forget the removed upstreams that went before a time."""
+        for address in [a for a, d in self.departed.items() if d.at < before]:
+            del self.departed[address]
+
+    def _put(self, record: UpstreamRecord, now: float) -> bool:
+        address = record.identity.address
+        if not self._claim_request_address(record, now):
+            return False
+        before = self.records.get(address)
+        if before is not None and before.identity != record.identity:
+            self.remove(address, now)
+        self.departed.pop(address, None)
+        self.records[address] = record
+        self.heard_at[address] = now
+        self.by_key[upstream_key(record.identity)] = address
+        self.unreachable.discard(address)
+        return True
 
+    def _claim_request_address(self, record: UpstreamRecord, now: float) -> bool:
+        """Give the request address to the newest upstream that claims it."""
+        address = record.identity.address
+        other = self.request_holder.get(record.request_address, address)
+        if other != address:
+            if _version(self.records[other]) > _version(record):
+                return False
+            self.remove(other, now)
+        self.request_holder[record.request_address] = address
+        return True
 
-def _version(record: UpstreamRecord) -> tuple[int, int]:
-    return (record.identity.incarnation, record.sequence)
+    def _mark_leaving(
+        self, address: Address, known: UpstreamRecord, leaving: bool
+    ) -> bool:
+        if not leaving or is_leaving(known):
+            return False
+        marked = known._replace(phase=UpstreamPhase.LEAVING)
+        if address in self.records:
+            self.records[address] = marked
+            return True
+        self.departed[address] = self.departed[address]._replace(record=marked)
+        return False
 
 
-def _is_leaving(record: UpstreamRecord) -> bool:
+def is_leaving(record: UpstreamRecord) -> bool:
+    """Tell whether an upstream has said that it leaves."""
     return record.phase is UpstreamPhase.LEAVING
 
 
-def _same_run(held: UpstreamRecord, record: UpstreamRecord) -> bool:
-    return held.identity.incarnation == record.identity.incarnation
+def _version(record: UpstreamRecord) -> Version:
+    return (record.identity.incarnation, record.identity.service, record.sequence)
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -61,8 +61,11 @@
         registry=registry,
         configuration=front_ends.configuration,
         link=link,
+        members=members,
         counters=counters,
+        rng=Random(),
     )
+    membership.listeners.append(registration.on_member_event)
 
     def on_configuration() -> None:
         revision = in_force.current.revision
--- a/src/chervilstage/transport/registration.py
+++ b/src/chervilstage/transport/registration.py
@@ -3,19 +3,45 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from random import Random
 
 import anyio
 from anyio.abc import TaskGroup
 
+from ..coordination.membership import MemberEvent, MemberEventKind
+from ..coordination.registration import (
+    REFRESH_SECONDS,
+    Effect,
+    SendDigest,
+    SendRecords,
+    answer_fetch,
+    expire_records,
+    full_digest,
+    is_news,
+    make_refresh,
+    receive_digest,
+    receive_records,
+    take_announcement,
+)
 from ..errors import ChervilstageError
 from ..errors.upstreams import UnknownDataCentreError, UnknownServiceError
 from ..protocol.announcement import decode_announcement
 from ..protocol.kinds import Kind
-from ..protocol.upstream_messages import decode_records, encode_records
+from ..protocol.upstream_messages import (
+    decode_digest,
+    decode_fetch,
+    decode_records,
+    encode_digest,
+    encode_fetch,
+    encode_records,
+)
 from ..state.configuration import Configuration
 from ..state.counters import Counters
+from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry
+from ..state.spread import SpreadState
 from ..state.types import Address, UpstreamRecord
 from .application import Hooks
 from .event_log import log_event
@@ -23,9 +49,6 @@
 from .http_server import error_response, start_http_server
 from .peer_link import PeerLink
 
-SILENT_SECONDS = 5.0
-EXPIRY_INTERVAL_SECONDS = 0.5
-
 
 class Registration:
     """Takes announcements and tells them to the peers.
@@ -40,14 +63,21 @@
         registry: UpstreamRegistry,
         configuration: Callable[[], Configuration],
         link: PeerLink,
+        members: MemberTable,
         counters: Counters,
+        rng: Random,
     ) -> None:
         self.address = address
         self.registry = registry
         self.configuration = configuration
         self.link = link
+        self.members = members
         self.counters = counters
+        self.rng = rng
+        self.spread = SpreadState()
         link.register(Kind.UPSTREAM_RECORDS, self.receive_records)
+        link.register(Kind.UPSTREAM_DIGEST, self.receive_digest)
+        link.register(Kind.UPSTREAM_FETCH, self.receive_fetch)
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Answer ``POST /v1/announce``."""
@@ -65,8 +95,7 @@
                 reason=error,
             )
             return error_response(422, error)
-        if self.merge(record):
-            self.link.broadcast(Kind.UPSTREAM_RECORDS, encode_records([record]))
+        self.take(record)
         return HttpResponse(status=204, headers={}, body=b"")
 
     def check(self, record: UpstreamRecord) -> None:
@@ -82,45 +111,93 @@
         if record.data_centre not in names:
             raise UnknownDataCentreError(data_centre=record.data_centre)
 
-    def merge(self, record: UpstreamRecord) -> bool:
-        """Merge a record and log what is new about it."""
-        before = self.registry.records.get(record.identity.address)
-        if not self.registry.merge(record, anyio.current_time()):
-            return False
-        after = self.registry.records[record.identity.address]
-        if before is None or before[:1] + before[4:5] != after[:1] + after[4:5]:
-            log_event(
-                "upstream_registered",
-                service=after.identity.service,
-                address=f"{after.identity.address.host}:{after.identity.address.port}",
-                data_centre=after.data_centre,
-                phase=after.phase.value,
+    def take(self, record: UpstreamRecord) -> None:
+        """Take an announcement."""
+        now = anyio.current_time()
+        with self.changes_logged([record]):
+            effects = take_announcement(
+                self.registry, self.spread, self.members, record, now
             )
-        return True
+        self.perform(effects)
 
     def receive_records(self, sender: str, body: bytes) -> None:
         """Merge the records of a peer."""
-        for record in decode_records(body):
-            self.merge(record)
-
-    async def expire(self) -> None:
-        """Remove records that have been silent for too long, until cancelled."""
+        records = decode_records(body)
+        now = anyio.current_time()
+        with self.changes_logged(records):
+            effects = receive_records(self.registry, self.spread, sender, records, now)
+        self.perform(effects)
+
+    def receive_digest(self, sender: str, body: bytes) -> None:
+        """Take the sequences of a peer."""
+        items = decode_digest(body)
+        known = [r for i in items if (r := self.registry.find(i.key)) is not None]
+        now = anyio.current_time()
+        with self.changes_logged(known):
+            effects = receive_digest(self.registry, self.spread, sender, items, now)
+        self.perform(effects)
+
+    def receive_fetch(self, sender: str, body: bytes) -> None:
+        """Send a peer the records that it lacks."""
+        self.perform(answer_fetch(self.registry, sender, decode_fetch(body)))
+
+    def on_member_event(self, event: MemberEvent) -> None:
+        """Tell an entry that joins or restarts what there is to fetch."""
+        if event.kind in (MemberEventKind.JOINED, MemberEventKind.RESTARTED):
+            self.perform(full_digest(self.registry, event.name))
+
+    def perform(self, effects: Sequence[Effect]) -> None:
+        """Send the messages of a decision."""
+        for effect in effects:
+            if isinstance(effect, SendRecords):
+                body = encode_records(effect.records)
+                self.link.send(effect.peer, Kind.UPSTREAM_RECORDS, body)
+            elif isinstance(effect, SendDigest):
+                body = encode_digest(effect.items)
+                self.link.send(effect.peer, Kind.UPSTREAM_DIGEST, body)
+            else:
+                body = encode_fetch(effect.keys)
+                self.link.send(effect.peer, Kind.UPSTREAM_FETCH, body)
+
+    @contextmanager
+    def changes_logged(self, records: Sequence[UpstreamRecord]) -> Iterator[None]:
+        """Log what the body changes about the upstreams of some records."""
+        addresses = {record.identity.address for record in records}
+        before = {a: self.registry.records.get(a) for a in addresses}
+        yield
+        for address, old in before.items():
+            new = self.registry.records.get(address)
+            if new is not None and is_news(old, new):
+                log_upstream("upstream_registered", new)
+
+    async def run(self) -> None:
+        """Refresh the peers and remove silent records, until cancelled."""
         while True:
-            await anyio.sleep(EXPIRY_INTERVAL_SECONDS)
+            await anyio.sleep(REFRESH_SECONDS)
             now = anyio.current_time()
-            for record in self.registry.expire(now, SILENT_SECONDS):
-                address = record.identity.address
-                log_event(
-                    "upstream_silent",
-                    service=record.identity.service,
-                    address=f"{address.host}:{address.port}",
-                )
+            self.perform(
+                make_refresh(self.registry, self.spread, self.members, now, self.rng)
+            )
+            for record in expire_records(self.registry, self.members, now):
+                log_upstream("upstream_silent", record)
 
     async def start(self, group: TaskGroup) -> None:
         """Begin to listen."""
         await start_http_server(group, self.address, self.answer)
-        group.start_soon(self.expire)
+        group.start_soon(self.run)
 
     def hooks(self) -> Hooks:
         """Return the life-cycle hooks."""
         return Hooks(name="registration", start=self.start)
+
+
+def log_upstream(event: str, record: UpstreamRecord) -> None:
+    """Log an event of one upstream."""
+    address = record.identity.address
+    log_event(
+        event,
+        service=record.identity.service,
+        address=f"{address.host}:{address.port}",
+        data_centre=record.data_centre,
+        phase=record.phase.value,
+    )
--- /dev/null
+++ b/testing/coordination/test_registration.py
@@ -0,0 +1,183 @@
+"""The spread of upstream records over four entries."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
+
+from chervilstage.state.registry import UpstreamRegistry, is_leaving
+from chervilstage.state.types import Address, UpstreamRecord
+from testing.support.upstream_fakes import FakeGroup, record_of
+
+ENTRIES = [f"e{n}" for n in range(4)]
+UPSTREAMS = 3
+LEAVE_SECONDS = 2.0
+# Two full digests from each entry reach each peer with near certainty in this time.
+CONVERGED_SECONDS = 60.0
+
+
+class SpreadMachine(RuleBasedStateMachine):
+    """Announces, leaves, replaces, loses and cuts; old announcements come again."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed: int) -> None:
+        self.group = FakeGroup(seed=seed)
+        self.group.run(1)
+        self.past: list[UpstreamRecord] = []
+        self.newest: dict[int, UpstreamRecord] = {}
+        self.left: set[tuple[Address, int]] = set()
+
+    def announce(self, entry: str, number: int, record: UpstreamRecord) -> None:
+        """Announce something new."""
+        self.newest[number] = record
+        self.past.append(record)
+        if is_leaving(record):
+            self.left.add((record.identity.address, record.identity.incarnation))
+        self.group.announce(entry, record)
+
+    @rule(
+        number=st.integers(0, UPSTREAMS - 1),
+        entry=st.sampled_from(ENTRIES),
+        change=st.sampled_from(["same", "same", "leave", "replace"]),
+        service=st.sampled_from(["alley-desk", "league-ledger"]),
+    )
+    def tell(self, number: int, entry: str, change: str, service: str) -> None:
+        old = self.newest.get(number)
+        incarnation = old.identity.incarnation if old else 1
+        sequence = old.sequence + 1 if old else 1
+        if old and change != "replace":
+            service = old.identity.service
+        elif old:
+            incarnation, sequence = incarnation + 1, 1
+        record = record_of(
+            number,
+            incarnation=incarnation,
+            sequence=sequence,
+            leaving=change == "leave",
+            service=service,
+        )
+        self.announce(entry, number, record)
+
+    @rule(index=st.integers(0, 1000), entry=st.sampled_from(ENTRIES))
+    def repeat_old(self, index: int, entry: str) -> None:
+        if self.past:
+            self.group.announce(entry, self.past[index % len(self.past)])
+
+    @rule(loss=st.sampled_from([0.0, 0.3, 0.6]), doubled=st.sampled_from([0.0, 0.5]))
+    def weather(self, loss: float, doubled: float) -> None:
+        self.group.network.loss = loss
+        self.group.network.duplication = doubled
+        self.group.network.most_delay = 0.4
+
+    @rule(side=st.sets(st.sampled_from(ENTRIES), max_size=2))
+    def cut(self, side: set[str]) -> None:
+        self.group.network.side = frozenset(side)
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.0, 8.0]))
+    def wait(self, seconds: float) -> None:
+        self.group.run(seconds)
+
+    @invariant()
+    def leaving_is_never_undone(self) -> None:
+        for entry in self.group.entries.values() if self.newest else ():
+            heard = getattr(entry, "left", set())
+            for record in entry.registry.records.values():
+                run = (record.identity.address, record.identity.incarnation)
+                if is_leaving(record):
+                    heard.add(run)
+                assert run not in heard or is_leaving(record), (entry.name, record)
+            entry.left = heard  # type: ignore[attr-defined]
+
+    @rule()
+    def calm(self) -> None:
+        """Without loss or cuts all entries come to hold the same records."""
+        network = self.group.network
+        network.loss, network.duplication, network.side = 0.0, 0.0, frozenset()
+        for _ in range(round(CONVERGED_SECONDS)):
+            self.group.run(1)
+            for number, record in list(self.newest.items()):
+                newer = record._replace(sequence=record.sequence + 1)
+                self.announce("e0", number, newer)
+        self.group.run(1)
+        views = [e.registry.records for e in self.group.entries.values()]
+        for view in views:
+            assert view == views[0]
+            assert len(view) == len(self.newest)
+
+
+class SpreadTests(TestCase):
+    """Guards against records that differ between entries or come back to life."""
+
+    def test_records_converge_and_leaving_stays(self) -> None:
+        run_state_machine_as_test(SpreadMachine)
+
+    def test_leaving_is_known_within_two_seconds_despite_loss(self) -> None:
+        for seed in range(40):
+            group = FakeGroup(seed=seed)
+            group.announce("e0", record_of(0))
+            group.run(2)
+            group.network.loss = 0.2
+            group.announce("e0", record_of(0, sequence=2, leaving=True))
+            group.run(LEAVE_SECONDS)
+            views = [e.registry.records for e in group.entries.values()]
+            late = [v for v in views if not all(map(is_leaving, v.values()))]
+            self.assertThat(late, HasLength(0), f"seed {seed}")
+
+    def test_entry_that_restarts_gets_all_records(self) -> None:
+        group = FakeGroup(seed=1)
+        for number in range(25):
+            group.announce("e0", record_of(number))
+        group.run(2)
+        group.entries["e3"].registry = UpstreamRegistry()
+        report = group.entries["e3"].table.report
+        group.entries["e3"].table.report = report._replace(incarnation=2)
+        group.run(1)
+        self.assertThat(group.entries["e3"].registry.records, HasLength(25))
+
+    def test_cut_off_data_centre_keeps_its_records_for_two_hours(self) -> None:
+        group = FakeGroup(seed=1, layout=["gl-erie", "gl-erie", "gl-huron", "gl-huron"])
+        group.announce("e0", record_of(0))
+        group.run(1)
+        registry = group.entries["e2"].registry
+        group.network.side = frozenset({"e0", "e1"})
+        group.run(60)
+        self.assertThat(registry.unreachable, Equals(set(registry.records)))
+        self.assertThat(registry.records, HasLength(1))
+        group.network.now += 7_200
+        group.run(2)
+        self.assertThat(registry.records, HasLength(0))
+
+    def test_old_or_crossed_messages_never_undo_leaving(self) -> None:
+        for removed in (False, True):
+            registry = UpstreamRegistry()
+            registry.merge(record_of(0, sequence=2, leaving=True), 0.0)
+            if removed:
+                registry.remove(record_of(0).identity.address, 1.0)
+            registry.merge(record_of(0, sequence=1), 2.0)
+            registry.merge(record_of(0, sequence=3), 2.0)
+            phases = [is_leaving(r) for r in registry.records.values()]
+            self.assertThat(phases, Equals([True]))
+
+    def test_removed_upstream_needs_a_newer_announcement(self) -> None:
+        registry = UpstreamRegistry()
+        registry.merge(record_of(0, sequence=5), 0.0)
+        registry.remove(record_of(0).identity.address, 1.0)
+        self.assertThat(registry.merge(record_of(0, sequence=5), 2.0), Equals(False))
+        self.assertThat(registry.merge(record_of(0, sequence=6), 2.0), Equals(True))
+
+    def test_request_address_goes_to_the_newest_upstream(self) -> None:
+        older, newer = record_of(0, incarnation=3), record_of(1, incarnation=5)
+        newer = newer._replace(request_address=older.request_address)
+        for order in ((older, newer), (newer, older)):
+            registry = UpstreamRegistry()
+            for record in order:
+                registry.merge(record, 0.0)
+            self.assertThat(list(registry.records.values()), Equals([newer]))
--- /dev/null
+++ b/testing/support/upstream_fakes.py
@@ -0,0 +1,231 @@
+"""Fakes that drive the decisions on upstreams: clock, network and entries."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Sequence
+from random import Random
+
+from chervilstage.coordination.membership import (
+    MemberEventKind,
+    expire_members,
+    make_heartbeat,
+    receive_heartbeat,
+)
+from chervilstage.coordination.registration import (
+    REFRESH_SECONDS,
+    Effect,
+    SendDigest,
+    SendRecords,
+    answer_fetch,
+    expire_records,
+    full_digest,
+    make_refresh,
+    receive_digest,
+    receive_records,
+    take_announcement,
+)
+from chervilstage.state.members import MemberReport, MemberTable
+from chervilstage.state.registry import UpstreamRegistry
+from chervilstage.state.spread import SpreadState
+from chervilstage.state.types import (
+    Address,
+    Peer,
+    UpstreamId,
+    UpstreamPhase,
+    UpstreamRecord,
+)
+
+STEP_SECONDS = 0.05
+HEARTBEAT_SECONDS = 0.25
+LEASE_SECONDS = 1.0
+SERVICE = "alley-desk"
+
+
+def record_of(
+    number: int,
+    *,
+    incarnation: int = 1,
+    sequence: int = 1,
+    leaving: bool = False,
+    service: str = SERVICE,
+    data_centre: str = "gl-erie",
+    slots: int = 4,
+) -> UpstreamRecord:
+    """Return the announcement of upstream ``number``."""
+    host = f"127.1.0.{number + 1}"
+    return UpstreamRecord(
+        identity=UpstreamId(
+            address=Address(host=host, port=9000),
+            incarnation=incarnation,
+            service=service,
+        ),
+        request_address=Address(host=host, port=9001),
+        data_centre=data_centre,
+        sequence=sequence,
+        phase=UpstreamPhase.LEAVING if leaving else UpstreamPhase.READY,
+        slots=slots,
+        load=0,
+    )
+
+
+class FakeNetwork:
+    """Delivers messages late, out of order, twice or not at all.
+
+    ``side`` is the set of names that is cut off from all others.
+    """
+
+    def __init__(self, *, rng: Random) -> None:
+        self.rng = rng
+        self.now = 100.0
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.most_delay = 0.02
+        self.side: frozenset[str] = frozenset()
+        self.queue: list[tuple[float, int, str, Callable[[], None]]] = []
+        self.sent = 0
+
+    def send(self, source: str, target: str, deliver: Callable[[], None]) -> None:
+        """Accept a message."""
+        for _ in range(2 if self.rng.random() < self.duplication else 1):
+            self.sent += 1
+            cut = (source in self.side) != (target in self.side)
+            if not cut and self.rng.random() >= self.loss:
+                at = self.now + self.rng.uniform(0.001, self.most_delay)
+                heapq.heappush(self.queue, (at, self.sent, target, deliver))
+
+    def due(self) -> list[tuple[str, Callable[[], None]]]:
+        """Take the messages that have arrived by now."""
+        found = []
+        while self.queue and self.queue[0][0] <= self.now:
+            _, _, target, deliver = heapq.heappop(self.queue)
+            found.append((target, deliver))
+        return found
+
+
+class FakeEntry:
+    """The state of one entry; ``rate`` is that of its clock."""
+
+    def __init__(
+        self, *, name: str, peers: Sequence[Peer], data_centre: str, rate: float
+    ) -> None:
+        self.name = name
+        self.rate = rate
+        self.frozen = False
+        self.inbox: list[Callable[[], None]] = []
+        self.registry = UpstreamRegistry()
+        self.spread = SpreadState()
+        self.table = MemberTable(
+            name=name,
+            data_centre=data_centre,
+            peers=[p for p in peers if p.name != name],
+            lease_seconds=LEASE_SECONDS,
+        )
+        self.table.report = MemberReport(incarnation=1)
+
+
+class FakeGroup:
+    """Four entries on one network."""
+
+    def __init__(self, *, seed: int, layout: Sequence[str] = ("gl-erie",) * 4) -> None:
+        self.rng = Random(seed)
+        self.network = FakeNetwork(rng=self.rng)
+        self.peers = [
+            Peer(
+                name=f"e{n}", data_centre=dc, address=Address(host="127.0.0.1", port=n)
+            )
+            for n, dc in enumerate(layout)
+        ]
+        self.entries = {
+            p.name: FakeEntry(
+                name=p.name,
+                peers=self.peers,
+                data_centre=p.data_centre,
+                rate=self.rng.uniform(0.995, 1.005),
+            )
+            for p in self.peers
+        }
+        self.ticks = 0
+
+    def clock(self, entry: FakeEntry) -> float:
+        """Return the time of an entry's own clock."""
+        return self.network.now * entry.rate
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.network.now += STEP_SECONDS
+            self.ticks += 1
+            for name, deliver in self.network.due():
+                entry = self.entries.get(name)
+                if entry is not None and entry.frozen:
+                    entry.inbox.append(deliver)
+                elif entry is not None:
+                    deliver()
+            for entry in list(self.entries.values()):
+                if not entry.frozen:
+                    self.step(entry)
+
+    def step(self, entry: FakeEntry) -> None:
+        """Run the timers of one entry."""
+        waiting, entry.inbox = entry.inbox, []
+        for deliver in waiting:
+            deliver()
+        now = self.clock(entry)
+        if self.ticks % round(HEARTBEAT_SECONDS / STEP_SECONDS) == 0:
+            expire_members(entry.table, now)
+            self.heartbeat(entry)
+        if self.ticks % round(REFRESH_SECONDS / STEP_SECONDS) == 0:
+            effects = make_refresh(
+                entry.registry, entry.spread, entry.table, now, self.rng
+            )
+            self.perform(entry, effects)
+            expire_records(entry.registry, entry.table, now)
+
+    def heartbeat(self, entry: FakeEntry) -> None:
+        """Send the heartbeats of one entry."""
+        for name in entry.table.members:
+            beat = make_heartbeat(entry.table, name, self.clock(entry))
+
+            def deliver(target: str = name, beat: object = beat) -> None:
+                peer = self.entries[target]
+                events = receive_heartbeat(
+                    peer.table,
+                    entry.name,
+                    beat,  # type: ignore[arg-type]
+                    self.clock(peer),
+                )
+                for event in events:
+                    if event.kind is not MemberEventKind.REPORTED:
+                        self.perform(peer, full_digest(peer.registry, event.name))
+
+            self.network.send(entry.name, name, deliver)
+
+    def perform(self, entry: FakeEntry, effects: Sequence[Effect]) -> None:
+        """Send the messages of a decision on records."""
+        for effect in effects:
+
+            def deliver(effect: Effect = effect) -> None:
+                target = self.entries[effect.peer]
+                self.perform(target, self.receive(target, entry.name, effect))
+
+            self.network.send(entry.name, effect.peer, deliver)
+
+    def receive(self, entry: FakeEntry, sender: str, effect: Effect) -> list[Effect]:
+        """Hand a message on records to the decision."""
+        now, registry = self.clock(entry), entry.registry
+        if isinstance(effect, SendRecords):
+            return receive_records(registry, entry.spread, sender, effect.records, now)
+        if isinstance(effect, SendDigest):
+            return receive_digest(registry, entry.spread, sender, effect.items, now)
+        return answer_fetch(registry, sender, effect.keys)
+
+    def announce(self, name: str, record: UpstreamRecord) -> None:
+        """Let an upstream announce itself to an entry."""
+        entry = self.entries[name]
+        if entry.frozen:
+            return
+        effects = take_announcement(
+            entry.registry, entry.spread, entry.table, record, self.clock(entry)
+        )
+        self.perform(entry, effects)
