--- a/src/chervilstage/coordination/configuration.py
+++ b/src/chervilstage/coordination/configuration.py
@@ -14,6 +14,7 @@
 from ..state.applied import AppliedState
 from ..state.configuration import Change, ChangeOutcome, Configuration
 from .difference import Difference, difference
+from .references import reference_problems
 
 SHOWN_WINNERS = 3
 
@@ -34,7 +35,9 @@
     code, message = "", "accepted"
     try:
         _check_base(applied, change)
-        _check_references(wanted)
+        problems = reference_problems(wanted)
+        if problems:
+            raise ChangeInvalidError(problems=problems)
     except ChervilstageError as error:
         code, message = error.code, str(error)
     else:
@@ -133,26 +136,3 @@
         rules=before.rules if change.rules is None else change.rules,
         out=before.out if change.out is None else change.out,
     )
-
-
-def _check_references(configuration: Configuration) -> None:
-    inventory = configuration.inventory
-    data_centres = {d.name for d in inventory.data_centres}
-    services = {s.name for s in inventory.services}
-    problems = [
-        f"service {s.name} names the unknown data centre {name}"
-        for s in inventory.services
-        for name in s.data_centres
-        if name not in data_centres
-    ]
-    problems += [
-        f"rules name the unknown service {r.service}"
-        for r in configuration.rules.services
-        if r.service not in services
-    ]
-    problems += [
-        f"the unknown data centre {name} cannot be out of service"
-        for name in sorted(configuration.out - data_centres)
-    ]
-    if problems:
-        raise ChangeInvalidError(problems="; ".join(problems))
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -4,8 +4,10 @@
 
 from random import Random
 
+from ..coordination.flows import end_flows_out
 from ..protocol.settings import EntrySettings, peers_of
 from ..state.counters import Counters
+from ..state.flow_state import FlowState
 from ..state.in_force import ConfigurationInForce
 from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry
@@ -14,6 +16,8 @@
 from .capacity import UpstreamCapacity
 from .configuration_client import ConfigurationClient
 from .entry_status import phase_gauges, serve_entry_status
+from .flow_explanations import serve_explanations
+from .flow_link import FlowLink
 from .frame_channel import FrameClient, FrameServer
 from .front_ends import FrontEnds
 from .membership import LEASE_SECONDS, Membership
@@ -50,25 +54,38 @@
     capacity = UpstreamCapacity(
         registry=registry, configuration=lambda: in_force.current, rng=Random()
     )
+    flows = FlowState(
+        members=members,
+        registry=registry,
+        in_force=in_force,
+        counters=counters,
+        unreachable=set(),
+    )
     front_ends = FrontEnds(
         host=host,
-        registry=registry,
         in_force=in_force,
         counters=counters,
         capacity=capacity,
+        flows=flows,
     )
+    flow_link = FlowLink(state=flows, link=link, release=front_ends.release)
+    membership.listeners.append(flow_link.on_member)
     registration = Registration(
         address=Address(host=host, port=settings["platform_port"]),
         registry=registry,
         configuration=front_ends.configuration,
         link=link,
+        members=members,
         counters=counters,
+        rng=Random(),
     )
+    membership.listeners.append(registration.on_member_event)
 
     def on_configuration() -> None:
         revision = in_force.current.revision
         members.report = members.report._replace(revision=revision)
         front_ends.reconcile()
+        end_flows_out(flows)
 
     own = Peer(name=name, data_centre=settings["data_centre"], address=peer_address)
     client = ConfigurationClient(
@@ -84,13 +101,17 @@
 
     def gauges() -> dict[str, float]:
         return {
-            "flows_held": front_ends.flows_held(),
+            "flows_held": flows.flows_held(),
+            "buckets_unsettled": flows.unsettled_count(),
+            "exceptions_known": flows.exceptions_known(),
+            "view_in_force": flows.view.identity.number,
             "revision_in_force": in_force.current.revision,
             "upstreams_registered": len(registry.records),
             "members_live": len(members.live()),
             **phase_gauges(registry),
         }
 
+    serve_explanations(frame_server, flows)
     serve_entry_status(frame_server, in_force, gauges, client.group)
 
     app = Application(
@@ -107,6 +128,7 @@
         frames,
         frame_server,
         link,
+        flow_link,
         membership,
         front_ends,
         registration,
