--- /dev/null
+++ b/testing/transport/test_access.py
@@ -0,0 +1,94 @@
+"""Endpoints between processes refuse whoever holds no key."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import anyio
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from chervilstage.errors.access import PeerUnreachableError
+from chervilstage.protocol.control_messages import ConfigurationQuery, encode_query
+from chervilstage.protocol.envelope import Envelope, encode_envelope
+from chervilstage.protocol.kinds import Kind
+from chervilstage.protocol.membership_messages import encode_heartbeat
+from chervilstage.state.counters import Counters
+from chervilstage.state.members import Heartbeat, MemberReport
+from chervilstage.state.types import Address
+from chervilstage.transport.frame_channel import FrameClient
+from chervilstage.transport.http_client import http_request
+from testing.support.cell import METRICS_PORT, PEER_PORT, Cell
+from testing.support.processes import wait_until
+
+WRONG_KEY = b"a-key-of-somebody-else-0123456789"
+
+
+@pytest.fixture(scope="module")
+def cell(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cell]:
+    """Start one control process and two entries."""
+    cell = Cell(folder=tmp_path_factory.mktemp("access"), layout=["gl-erie"] * 2)
+    try:
+        cell.start_all()
+        yield cell
+    finally:
+        cell.close()
+
+
+def metric(host: str, name: str, label: str = "") -> float:
+    """Return the present value of a metric of an entry."""
+
+    async def fetch() -> str:
+        address = Address(host=host, port=METRICS_PORT)
+        return (await http_request(address, "GET", "/metrics")).body.decode()
+
+    for family in text_string_to_metric_families(anyio.run(fetch)):
+        for sample in family.samples:
+            plain = sample.name.removesuffix("_total") == f"chervilstage_{name}"
+            if plain and sample.labels.get("label", "") == label:
+                return float(sample.value)
+    return 0.0
+
+
+def test_datagram_with_a_wrong_key_changes_nothing_and_is_counted(cell: Cell) -> None:
+    """Guards against a stranger who reports revisions or views to an entry."""
+    host = cell.entries[0].host
+    revision = metric(host, "revision_in_force")
+    report = MemberReport(incarnation=2**60, revision=99, view_number=99)
+    beat = encode_heartbeat(Heartbeat(sent_at=1.0, echo=0.0, report=report))
+    envelope = Envelope(kind=Kind.HEARTBEAT, sender="entry-2", body=beat)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(encode_envelope(envelope, WRONG_KEY), (host, PEER_PORT))
+        sock.sendto(b"\x00" * 40, (host, PEER_PORT))
+        sock.sendto(b"", (host, PEER_PORT))
+    wait_until(
+        lambda: metric(host, "peer_messages_refused", "CS-ACCESS-001") >= 3,
+        "three refused datagrams counted",
+    )
+    assert metric(host, "revision_in_force") == revision
+    assert metric(host, "members_live") == 2
+
+
+def test_frame_with_a_wrong_key_gets_no_answer_and_is_counted(cell: Cell) -> None:
+    """Guards against a stranger who reads the configuration from an entry."""
+    address = Address(host=cell.entries[0].host, port=PEER_PORT)
+
+    async def fetch() -> None:
+        client = FrameClient(name="stranger", key=WRONG_KEY, counters=Counters())
+        query = encode_query(ConfigurationQuery(revision=0, wait_seconds=0.0))
+        await client.call(address, Kind.CONFIGURATION_FETCH, query, 5.0)
+
+    with pytest.raises(PeerUnreachableError):
+        anyio.run(fetch)
+    wait_until(
+        lambda: metric(address.host, "frames_refused", "CS-ACCESS-001") >= 1,
+        "the refused frame counted",
+    )
+
+
+def test_key_never_appears_in_a_log(cell: Cell) -> None:
+    """Guards against a key that everybody who reads logs gets to know."""
+    key = cell.key_file.read_text()
+    for started in cell.processes.started:
+        assert key not in started.log.read_text()
