Measure a data centre that goes out and comes back; let flows end and begin

Cause: the figures centre.out_last_packet and centre.service_ratio had no measurement.

Flows of a load plan can now end after a number of packets (flow_packets); before, no new flow began after the first second, so nothing showed whether `back` brings new flows to a data centre.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,7 @@
 
 from .figures import figure_line
 
-MODULES: tuple[str, ...] = ()
+MODULES: tuple[str, ...] = ("centre",)
 
 
 def main() -> int:
--- a/src/chervilstage/coordination/load_schedule.py
+++ b/src/chervilstage/coordination/load_schedule.py
@@ -20,11 +20,15 @@
 
 
 class PacketDue(NamedTuple):
-    """A packet and the entry that it is sent to; ``at`` counts from the start."""
+    """A packet and the entry that it is sent to; ``at`` counts from the start.
+
+    ``life`` numbers the flows of a caller and ``sequence`` the packets of a flow.
+    """
 
     at: float
     load: int
     caller: int
+    life: int
     sequence: int
     entry: int
 
@@ -94,15 +98,30 @@
     rng = Random(f"{plan.seed}/packets/{index}")
     gap = 1 / load.packets_per_second
     for number in range(int(plan.seconds * load.packets_per_second)):
+        turn, caller = divmod(number, load.callers)
+        life, sequence = _life(load, caller, turn)
         yield PacketDue(
             at=number * gap,
             load=index,
-            caller=number % load.callers,
-            sequence=number // load.callers + 1,
+            caller=caller,
+            life=life,
+            sequence=sequence,
             entry=rng.randrange(len(plan.entries)),
         )
 
 
+def _life(load: FlowLoad, caller: int, turn: int) -> tuple[int, int]:
+    """Return the flow and the sequence of a caller's packet.
+
+    Callers begin at different places of their first flow, so that flows end evenly.
+    """
+    if not load.flow_packets:
+        return 0, turn + 1
+    offset = caller % load.flow_packets
+    life, place = divmod(turn + offset, load.flow_packets)
+    return life, place + 1 - (offset if life == 0 else 0)
+
+
 def _requests(plan: LoadPlan, index: int, load: RequestLoad) -> Iterator[RequestDue]:
     rng = Random(f"{plan.seed}/requests/{index}")
     at, number = rng.expovariate(load.per_second), 0
--- a/src/chervilstage/protocol/load_plan.py
+++ b/src/chervilstage/protocol/load_plan.py
@@ -66,6 +66,7 @@
     callers: Count
     packets_per_second: Rate
     payload_bytes: NotRequired[Annotated[int, Field(ge=0, le=1_200)]]
+    flow_packets: NotRequired[Annotated[int, Field(ge=0)]]
     subscribe: NotRequired[bool]
 
 
--- a/src/chervilstage/state/load_plan.py
+++ b/src/chervilstage/state/load_plan.py
@@ -27,8 +27,9 @@
 class FlowLoad(NamedTuple):
     """Flows of datagrams to one service.
 
-    ``packets_per_second`` is the rate of all callers together. ``subscribe`` asks the
-    upstream for the updates of a feed.
+    ``packets_per_second`` is the rate of all callers together. ``flow_packets`` is how
+    many packets a flow has before its caller begins a new one, 0 for no end.
+    ``subscribe`` asks the upstream for the updates of a feed.
     """
 
     service: str
@@ -36,6 +37,7 @@
     callers: int
     packets_per_second: float
     payload_bytes: int = 64
+    flow_packets: int = 0
     subscribe: bool = False
 
 
--- a/src/chervilstage/transport/load_packets.py
+++ b/src/chervilstage/transport/load_packets.py
@@ -30,6 +30,7 @@
         self.load = load
         self.plan = plan
         self.results = results
+        self.scope = anyio.CancelScope()
         self.sock: socket.socket = open_datagram_socket(plan.caller_host, 0)
 
     def body(self, sequence: int) -> bytes:
@@ -51,6 +52,11 @@
         if not send_datagram(self.sock, encode_packet(packet), entry):
             self.results.counts["packets_not_taken"] += 1
 
+    async def receive_all(self) -> None:
+        """Check what comes back until the flow is over."""
+        with self.scope, self.sock:
+            await receive_datagrams(self.sock, self.receive)
+
     def receive(self, data: bytes, sender: tuple[str, int]) -> None:
         """Check one packet that came back."""
         now = time.time()
@@ -67,22 +73,42 @@
         take_packet_answer(self.results, self.flow, answer, body, now)
 
 
-def open_callers(plan: LoadPlan, results: LoadResults) -> list[list[PacketCaller]]:
-    """Open the sockets of all callers, by load."""
-    callers = []
-    for index, load in enumerate(plan.flows):
-        flows = [
-            FlowRecord(name=f"f{index}-{number}", service=load.service)
-            for number in range(load.callers)
-        ]
-        results.flows.update({flow.name: flow for flow in flows})
-        callers.append(
-            [
-                PacketCaller(flow=flow, load=load, plan=plan, results=results)
-                for flow in flows
-            ]
+class PacketCallers:
+    """The callers of a plan, whose flows are opened when they are due.
+
+    :param group: runs the receivers of the flows.
+    """
+
+    def __init__(
+        self, *, group: TaskGroup, plan: LoadPlan, results: LoadResults
+    ) -> None:
+        self.group = group
+        self.plan = plan
+        self.results = results
+        self.open: dict[tuple[int, int, int], PacketCaller] = {}
+
+    def caller(self, due: PacketDue) -> PacketCaller:
+        """Return the caller of a packet, with its flow open."""
+        flow = (due.load, due.caller, due.life)
+        if flow not in self.open:
+            self.open[flow] = self.open_flow(due)
+            # The flow before may still get late answers; the one before that is over.
+            over = self.open.pop((due.load, due.caller, due.life - 2), None)
+            if over is not None:
+                over.scope.cancel()
+        return self.open[flow]
+
+    def open_flow(self, due: PacketDue) -> PacketCaller:
+        """Open a flow."""
+        load = self.plan.flows[due.load]
+        name = f"f{due.load}-{due.caller}-{due.life}"
+        flow = FlowRecord(name=name, service=load.service)
+        self.results.flows[name] = flow
+        caller = PacketCaller(
+            flow=flow, load=load, plan=self.plan, results=self.results
         )
-    return callers
+        self.group.start_soon(caller.receive_all)
+        return caller
 
 
 async def run_packets(
@@ -93,11 +119,9 @@
     :param group: runs the receivers, which go on after the last packet is sent.
     :param started: the start of the run, in seconds of the loop's clock.
     """
-    callers = open_callers(plan, results)
-    for caller in (one for load in callers for one in load):
-        group.start_soon(receive_datagrams, caller.sock, caller.receive)
+    callers = PacketCallers(group=group, plan=plan, results=results)
     for number, due in enumerate(packet_schedule(plan)):
         early = started + due.at - anyio.current_time()
         if early > 0 or number % SEND_BATCH == 0:
             await anyio.sleep(max(early, 0))
-        callers[due.load][due.caller].send(due)
+        callers.caller(due).send(due)
--- a/testing/coordination/test_load_schedule.py
+++ b/testing/coordination/test_load_schedule.py
@@ -36,7 +36,7 @@
         seed=seed,
         seconds=4,
         entries=tuple(EntryTarget(host=f"127.0.0.{n}", data_centre="a") for n in "123"),
-        flows=(flows, flows._replace(packets_per_second=30)),
+        flows=(flows, flows._replace(packets_per_second=30, flow_packets=4)),
         requests=(BOOKINGS,),
     )
 
@@ -51,10 +51,13 @@
         due = list(packet_schedule(plan_of(seed)))
         self.assertThat(due, Equals(list(packet_schedule(plan_of(seed)))))
         self.assertThat([p.at for p in due], Equals(sorted(p.at for p in due)))
-        last: Counter[tuple[int, int]] = Counter()
+        last: Counter[tuple[int, int, int]] = Counter()
         for packet in due:
-            last[(packet.load, packet.caller)] += 1
-            self.assertThat(packet.sequence, Equals(last[(packet.load, packet.caller)]))
+            flow = packet[1:4]
+            last[flow] += 1
+            self.assertThat(packet.sequence, Equals(last[flow]))
+        renewed = [count for (load, _, _), count in last.items() if load == 1]
+        self.assertThat(max(renewed), Equals(4))
         self.assertThat(len(due), Equals(4 * (50 + 30)))
         self.assertThat({p.entry for p in due}, Equals({0, 1, 2}))
 
