Add ownership of request records and agreement on group epochs

Decisions only, with no transport yet. The epoch after N is chosen by single-decree Paxos among the runs that are members of N; the first two entries of a key's home data centre hold its record. Floors and marks say when a missing record proves that a key was never tried.

Ruled out: one vote per member and epoch number (a split vote never ends), and treating a stamp after the epoch's formation as proof (two entries that join a home could own a key that the two before still run).

--- /dev/null
+++ b/src/chervilstage/coordination/epoch_agreement.py
@@ -0,0 +1,296 @@
+"""Agreement on the next group epoch.
+
+The epoch after N is chosen by single-decree Paxos among the members of N. Votes live
+in memory only: a member is one run of an entry, so a restarted entry has no vote in
+an epoch that names its earlier run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from ..state.epoch import (
+    AcceptedProposal,
+    Ballot,
+    Epoch,
+    EpochAccept,
+    EpochAccepted,
+    EpochCommit,
+    EpochMember,
+    EpochMessage,
+    EpochPrepare,
+    EpochPromise,
+    EpochQuery,
+    EpochSettled,
+    EpochState,
+    Floor,
+)
+
+# Callers' clocks may be ahead of an entry's by this much; keys stamped further ahead
+# are refused.
+MAXIMUM_SKEW_MS = 2_000
+# Twice the lease of a member: after it, an entry that was cut off together with the
+# other holder has no fresh lease from a majority and runs nothing.
+FENCE_SECONDS = 2.0
+# Floors lie ahead of the proposer's clock, so that a key tried before a loss, or by
+# an entry whose lease has not yet run out, never passes for one made after it.
+FLOOR_AHEAD_MS = MAXIMUM_SKEW_MS + int(FENCE_SECONDS * 1000)
+
+
+class SendEpoch(NamedTuple):
+    """Send a message to one entry."""
+
+    to: str
+    message: EpochMessage
+
+
+class EpochAdopted(NamedTuple):
+    """A newer epoch is in force on this entry."""
+
+    epoch: Epoch
+
+
+EpochEffect = SendEpoch | EpochAdopted
+
+
+def propose(
+    state: EpochState, wanted: Iterable[EpochMember], now_ms: int, now: float
+) -> list[EpochEffect]:
+    """Start a ballot for an epoch of the wanted members."""
+    members = tuple(sorted(wanted))
+    state.proposed = next_epoch(state, members, now_ms)
+    proposer = f"{state.own.name}#{state.own.incarnation}"
+    state.ballot = Ballot(round=state.promised.round + 1, proposer=proposer)
+    state.promises = {}
+    state.accepts = set()
+    prepare = EpochPrepare(base=state.current.number, ballot=state.ballot)
+    return _to_voters(state, prepare, now)
+
+
+def next_members(
+    state: EpochState, live: Iterable[EpochMember], staying: Iterable[EpochMember]
+) -> tuple[EpochMember, ...] | None:
+    """Return the members to propose, if this entry is the one to propose them.
+
+    The live voter with the lowest name proposes, and so does one that has accepted a
+    proposal without hearing that it was chosen. The first epoch waits for a majority
+    of the configured entries.
+    """
+    wanted = tuple(sorted(staying))
+    voters = set(_voters(state))
+    present = sorted(m.name for m in live if m.name in voters)
+    unchanged = set(wanted) == set(state.current.members)
+    if not wanted or (unchanged and not state.accepted):
+        return None
+    if not _may_vote(state) or not _is_majority(state, present):
+        return None
+    is_first = present[0] == state.own.name
+    return wanted if is_first or state.accepted else None
+
+
+def next_epoch(
+    state: EpochState, members: tuple[EpochMember, ...], now_ms: int
+) -> Epoch:
+    """Return the epoch that follows the current one with other members.
+
+    The floor of a home rises where two or more of its possible holders may have been
+    lost since all records were in place, and where none of its members goes on.
+    """
+    before = state.current
+    floor_ms = now_ms + FLOOR_AHEAD_MS
+    if not before.number:
+        return Epoch(
+            number=now_ms // 1000,
+            members=members,
+            first_floor_ms=floor_ms,
+            formed_floor_ms=floor_ms,
+        )
+    settled = state.all_settled()
+    carried = () if settled else before.lost
+    joined = {m.data_centre for m in set(members) - set(before.members)}
+    gone = {*carried, *before.members} - set(members)
+    floors = {floor.home: floor.stamp_ms for floor in before.floors}
+    homes = sorted({m.data_centre for m in (*members, *before.members)})
+    fenced = [h for h in homes if _records_may_be_lost(before, members, gone, h)]
+    floors.update(dict.fromkeys(fenced, floor_ms))
+    return Epoch(
+        number=before.number + 1,
+        members=members,
+        lost=tuple(sorted(gone)),
+        floors=tuple(Floor(home=h, stamp_ms=ms) for h, ms in sorted(floors.items())),
+        first_floor_ms=before.first_floor_ms,
+        formed_floor_ms=floor_ms,
+        fenced=tuple(fenced),
+        joined=tuple(sorted(joined if settled else {*joined, *before.joined})),
+    )
+
+
+def receive_epoch(
+    state: EpochState, sender: str, message: EpochMessage, now: float
+) -> list[EpochEffect]:
+    """Take a message of another entry."""
+    if isinstance(message, EpochCommit):
+        return adopt(state, message.epoch, now)
+    if isinstance(message, EpochSettled):
+        state.peers_settled[sender] = message.number
+        return []
+    if message.base < state.current.number:
+        commit = EpochCommit(epoch=state.current)
+        return [SendEpoch(to=sender, message=commit)]
+    if message.base > state.current.number or not _may_vote(state):
+        return []
+    if isinstance(message, EpochQuery):
+        return []
+    if isinstance(message, EpochPrepare):
+        return _on_prepare(state, sender, message)
+    if isinstance(message, EpochPromise):
+        return _on_promise(state, sender, message, now)
+    if isinstance(message, EpochAccept):
+        return _on_accept(state, sender, message)
+    return _on_accepted(state, sender, message, now)
+
+
+def catch_up(state: EpochState, reported: Mapping[str, int]) -> list[EpochEffect]:
+    """Ask peers that report a later epoch, and tell those that report an earlier one.
+
+    A peer that has accepted an epoch without hearing that it was chosen reports it
+    too, so each side of a lost message makes up for it.
+
+    :param reported: the epoch that each live peer reports.
+    """
+    number = state.current.number
+    effects: list[EpochEffect] = []
+    for name, epoch in sorted(reported.items()):
+        if epoch > number:
+            effects.append(SendEpoch(to=name, message=EpochQuery(base=number)))
+        elif epoch < number:
+            commit = EpochCommit(epoch=state.current)
+            effects.append(SendEpoch(to=name, message=commit))
+    return effects
+
+
+def adopt(state: EpochState, epoch: Epoch, now: float) -> list[EpochEffect]:
+    """Put a chosen epoch in force unless a newer one is."""
+    if epoch.number <= state.current.number:
+        return []
+    state.current = epoch
+    state.promised = Ballot()
+    state.accepted = None
+    state.ballot = None
+    state.proposed = None
+    state.marks = set()
+    state.peers_settled = {}
+    state.adopted_at = now
+    mark_received(state, state.own.name)
+    return [EpochAdopted(epoch=epoch)]
+
+
+def mark_received(state: EpochState, sender: str) -> None:
+    """Note that a member's records have arrived in full."""
+    state.marks.add(sender)
+    names = {m.name for m in state.current.members}
+    if state.is_member() and names <= state.marks:
+        state.settled = state.current.number
+
+
+def _records_may_be_lost(
+    before: Epoch,
+    members: tuple[EpochMember, ...],
+    gone: set[EpochMember],
+    home: str,
+) -> bool:
+    staying = [m for m in members if m.data_centre == home]
+    if staying and not set(staying) & set(before.members):
+        return True
+    # A home with one entry has its second holder anywhere in the group.
+    anywhere = min(len(staying), len(before.home_members(home))) < 2
+    candidates = [m for m in gone if anywhere or m.data_centre == home]
+    return len(candidates) >= 2
+
+
+def _may_vote(state: EpochState) -> bool:
+    return state.current.number == 0 or state.is_member()
+
+
+def _voters(state: EpochState) -> list[str]:
+    if state.current.number:
+        return [m.name for m in state.current.members]
+    return list(state.configured)
+
+
+def _is_majority(state: EpochState, names: Iterable[str]) -> bool:
+    voters = _voters(state)
+    return len(set(names) & set(voters)) * 2 > len(voters)
+
+
+def _to_voters(
+    state: EpochState, message: EpochMessage, now: float
+) -> list[EpochEffect]:
+    effects: list[EpochEffect] = [
+        SendEpoch(to=name, message=message)
+        for name in _voters(state)
+        if name != state.own.name
+    ]
+    for effect in receive_epoch(state, state.own.name, message, now):
+        if isinstance(effect, SendEpoch) and effect.to == state.own.name:
+            effects += receive_epoch(state, state.own.name, effect.message, now)
+        else:
+            effects.append(effect)
+    return effects
+
+
+def _on_prepare(
+    state: EpochState, sender: str, message: EpochPrepare
+) -> list[EpochEffect]:
+    if message.ballot < state.promised:
+        return []
+    state.promised = message.ballot
+    promise = EpochPromise(
+        base=message.base, ballot=message.ballot, accepted=state.accepted
+    )
+    return [SendEpoch(to=sender, message=promise)]
+
+
+def _on_promise(
+    state: EpochState, sender: str, message: EpochPromise, now: float
+) -> list[EpochEffect]:
+    if message.ballot != state.ballot or state.proposed is None:
+        return []
+    was_majority = _is_majority(state, state.promises)
+    state.promises[sender] = message
+    if was_majority or not _is_majority(state, state.promises):
+        return []
+    earlier = [p.accepted for p in state.promises.values() if p.accepted]
+    if earlier:
+        state.proposed = max(earlier, key=lambda a: a.ballot).epoch
+    accept = EpochAccept(base=message.base, ballot=message.ballot, epoch=state.proposed)
+    return _to_voters(state, accept, now)
+
+
+def _on_accept(
+    state: EpochState, sender: str, message: EpochAccept
+) -> list[EpochEffect]:
+    if message.ballot < state.promised:
+        return []
+    state.promised = message.ballot
+    state.accepted = AcceptedProposal(ballot=message.ballot, epoch=message.epoch)
+    accepted = EpochAccepted(base=message.base, ballot=message.ballot)
+    return [SendEpoch(to=sender, message=accepted)]
+
+
+def _on_accepted(
+    state: EpochState, sender: str, message: EpochAccepted, now: float
+) -> list[EpochEffect]:
+    if message.ballot != state.ballot or state.proposed is None:
+        return []
+    state.accepts.add(sender)
+    if not _is_majority(state, state.accepts):
+        return []
+    epoch = state.proposed
+    commit = EpochCommit(epoch=epoch)
+    names = {*_voters(state), *(m.name for m in epoch.members)} - {state.own.name}
+    effects: list[EpochEffect] = [
+        SendEpoch(to=name, message=commit) for name in sorted(names)
+    ]
+    return effects + adopt(state, epoch, now)
--- /dev/null
+++ b/src/chervilstage/coordination/record_ownership.py
@@ -0,0 +1,297 @@
+"""Who holds the record of a key, and when the request of a key may run."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from ..errors.requests import KeyExpiredError, KeyMalformedError, KeyReusedError
+from ..state.epoch import Epoch, EpochMember, EpochState
+from ..state.outcomes import Answered, NotRun, Outcome, Unknown
+from ..state.request_records import (
+    Answer,
+    RecordPhase,
+    RecordTable,
+    RequestKey,
+    RequestRecord,
+)
+from .epoch_agreement import FENCE_SECONDS, MAXIMUM_SKEW_MS, mark_received
+from .rendezvous import rendezvous_order
+
+
+class RecordHolders(NamedTuple):
+    """The owner of a key and its second holder."""
+
+    owner: EpochMember
+    second: EpochMember | None
+
+
+class Finish(NamedTuple):
+    """The outcome is known without running anything."""
+
+    outcome: Outcome
+
+
+class Relay(NamedTuple):
+    """Another entry owns the key."""
+
+    owner: EpochMember
+
+
+class Join(NamedTuple):
+    """The request of this key is running here; wait for it."""
+
+
+class CopyFirst(NamedTuple):
+    """Copy the record to the second holder, then ask ``may_send``."""
+
+    record: RequestRecord
+    second: EpochMember | None
+
+
+Begin = Finish | Relay | Join | CopyFirst
+
+
+class RecordCopy(NamedTuple):
+    """A record on its way to a holder, under the epoch of the sender."""
+
+    epoch: int
+    record: RequestRecord
+
+
+class RecordPush(NamedTuple):
+    """A part of the records of an entry for a member of an epoch."""
+
+    epoch: int
+    records: tuple[RequestRecord, ...]
+    last: bool
+
+
+def check_key(key: RequestKey, homes: Collection[str], now_ms: int, limit: int) -> None:
+    """Check a key before anything runs.
+
+    :param limit: the retention in milliseconds.
+    :raises KeyMalformedError: the home is unknown or the stamp is in the future.
+    :raises KeyExpiredError: the key is older than the retention.
+    """
+    if key.home not in homes:
+        raise KeyMalformedError(reason=f"unknown data centre {key.home}")
+    if key.stamp_ms > now_ms + MAXIMUM_SKEW_MS:
+        raise KeyMalformedError(reason="stamp is in the future")
+    if now_ms - key.stamp_ms > limit:
+        raise KeyExpiredError(age_ms=now_ms - key.stamp_ms, limit_ms=limit)
+
+
+def holders(epoch: Epoch, key: RequestKey) -> RecordHolders | None:
+    """Return the holders of a key, or nothing where its home has no entry."""
+    home = [m.name for m in epoch.home_members(key.home)]
+    order = rendezvous_order(key.text, home)
+    if not order:
+        return None
+    if len(order) == 1:
+        others = [m.name for m in epoch.members if m.data_centre != key.home]
+        order += rendezvous_order(key.text, others)[:1]
+    members = [m for name in order[:2] if (m := epoch.member(name))]
+    return RecordHolders(
+        owner=members[0], second=members[1] if len(members) > 1 else None
+    )
+
+
+def has_lease(state: EpochState, home: str, fresh: Collection[str]) -> bool:
+    """Tell whether no later epoch can have given this entry's keys to others.
+
+    :param fresh: peers that were under the same epoch less than a lease ago.
+    """
+    seen = {*fresh, state.own.name}
+    members = {m.name for m in state.current.members}
+    if len(seen & members) * 2 > len(members):
+        return True
+    at_home = {m.name for m in state.current.home_members(home)}
+    return state.own.name in at_home and at_home <= seen
+
+
+def begin_request(
+    state: EpochState,
+    table: RecordTable,
+    key: RequestKey,
+    digest: bytes,
+    attempt: int,
+    running: Collection[str],
+    now_ms: int,
+    now: float,
+) -> Begin:
+    """Decide what to do with a request of a key on this entry.
+
+    :param running: the keys whose request this entry is running.
+    :raises KeyReusedError: the key belongs to another request.
+    :raises RecordsFullError: there is no room for the record.
+    """
+    found = holders(state.current, key)
+    record = table.get(key)
+    if record and record.digest != digest:
+        raise KeyReusedError
+    if record and record.phase is RecordPhase.ANSWERED and record.answer:
+        return Finish(outcome=Answered(answer=record.answer))
+    if found is None:
+        return Finish(outcome=unsent(attempt, "no holder of the key is reachable"))
+    if found.owner != state.own:
+        return Relay(owner=found.owner)
+    if key.text in running:
+        return Join()
+    if record and record.phase is RecordPhase.SENT:
+        return Finish(outcome=Unknown(reason="an earlier attempt lost its answer"))
+    refused = _refuse_unproved(state, key, record, attempt)
+    if refused:
+        return Finish(outcome=refused)
+    if not _may_run(state, key, found, now):
+        return Finish(outcome=unsent(attempt, "the other holder is not known"))
+    return CopyFirst(
+        record=_next(state, table, key, digest, RecordPhase.SENT), second=found.second
+    )
+
+
+def unsent(attempt: int, reason: str) -> Outcome:
+    """Return the outcome where this attempt sent nothing but others may have."""
+    if attempt == 1:
+        return NotRun(reason=reason)
+    return Unknown(reason=reason)
+
+
+def may_send(
+    state: EpochState, record: RequestRecord, acknowledged: bool, fresh: Collection[str]
+) -> bool:
+    """Tell whether the request of a copied record may be sent now."""
+    found = holders(state.current, record.key)
+    return (
+        acknowledged
+        and found is not None
+        and found.owner == state.own
+        and record.epoch == state.current.number
+        and has_lease(state, record.key.home, fresh)
+    )
+
+
+def reopen(table: RecordTable, record: RequestRecord) -> RequestRecord:
+    """Note that the request of a record did not run, and may run on a retry.
+
+    The form keeps the epoch it was sent under, so that it never overrides what the
+    owner of a later epoch has done.
+    """
+    opened = record._replace(phase=RecordPhase.OPEN, version=record.version + 1)
+    merge_record(table, opened)
+    return opened
+
+
+def finish_record(
+    table: RecordTable, record: RequestRecord, answer: Answer
+) -> RequestRecord:
+    """Keep the answer of a record."""
+    done = record._replace(
+        phase=RecordPhase.ANSWERED, version=record.version + 1, answer=answer
+    )
+    merge_record(table, done)
+    return done
+
+
+def receive_copy(state: EpochState, table: RecordTable, copy: RecordCopy) -> bool:
+    """Take a copy of a record and tell whether to acknowledge it.
+
+    A copy under another epoch, or at an entry that is not a member, is refused; this
+    fences an owner that has not heard of the newer epoch.
+
+    :raises RecordsFullError: there is no room for the record.
+    """
+    if copy.epoch != state.current.number or not state.is_member():
+        return False
+    merge_record(table, copy.record)
+    return True
+
+
+def merge_record(table: RecordTable, record: RequestRecord) -> None:
+    """Keep the newer of two forms of a record; an answer is final."""
+    known = table.get(record.key)
+    if known is None or _rank(known) < _rank(record):
+        table.put(record)
+
+
+def receive_push(
+    state: EpochState, table: RecordTable, sender: str, push: RecordPush
+) -> bool:
+    """Take the records of another entry and tell whether to acknowledge them.
+
+    The last part of a member's records marks them as complete.
+    """
+    if push.epoch != state.current.number:
+        return False
+    for record in push.records:
+        merge_record(table, record)
+    if push.last and state.current.member(sender):
+        mark_received(state, sender)
+    return True
+
+
+def note_acknowledged(
+    table: RecordTable, record: RequestRecord, member: EpochMember
+) -> None:
+    """Note that a member holds the present form of a record."""
+    if table.records.get(record.key.text) == record:
+        table.known_to[record.key.text].add((member.name, member.incarnation))
+
+
+def records_for(
+    state: EpochState, table: RecordTable, member: EpochMember
+) -> list[RequestRecord]:
+    """Return the records that a member holds now and has not acknowledged."""
+    return [
+        record
+        for text, record in table.records.items()
+        if (member.name, member.incarnation) not in table.known_to[text]
+        and (found := holders(state.current, record.key))
+        and member in found
+    ]
+
+
+def _refuse_unproved(
+    state: EpochState, key: RequestKey, record: RequestRecord | None, attempt: int
+) -> Outcome | None:
+    """Return the outcome of a key that other holders may have tried."""
+    epoch = state.current
+    if record and record.epoch == epoch.number:
+        return None
+    if key.stamp_ms < epoch.floor(key.home):
+        return unsent(attempt, "the record of the key may be lost")
+    made_since = key.stamp_ms >= epoch.formed_floor_ms
+    if state.is_settled() or (made_since and key.home not in epoch.joined):
+        return None
+    return unsent(attempt, "records are being copied")
+
+
+def _may_run(
+    state: EpochState, key: RequestKey, found: RecordHolders, now: float
+) -> bool:
+    if key.home in state.current.fenced and now - state.adopted_at < FENCE_SECONDS:
+        return False
+    return found.second is not None or len(state.configured) == 1
+
+
+def _next(
+    state: EpochState,
+    table: RecordTable,
+    key: RequestKey,
+    digest: bytes,
+    phase: RecordPhase,
+) -> RequestRecord:
+    known = table.get(key)
+    record = RequestRecord(
+        key=key,
+        digest=digest,
+        phase=phase,
+        epoch=state.current.number,
+        version=known.version + 1 if known else 1,
+    )
+    table.put(record)
+    return record
+
+
+def _rank(record: RequestRecord) -> tuple[bool, int, int]:
+    return (record.phase is RecordPhase.ANSWERED, record.epoch, record.version)
--- /dev/null
+++ b/src/chervilstage/state/epoch.py
@@ -0,0 +1,179 @@
+"""The group epoch: which entries hold request records, and what was lost."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class EpochMember(NamedTuple):
+    """One run of an entry. A restarted entry is another member."""
+
+    name: str
+    incarnation: int
+    data_centre: str
+
+
+class Floor(NamedTuple):
+    """A stamp below which a key of a home data centre may have lost its record."""
+
+    home: str
+    stamp_ms: int
+
+
+class Epoch(NamedTuple):
+    """A numbered set of members.
+
+    ``lost`` are the runs that were removed since every member last held all its
+    records, and ``joined`` the homes that gained members since then. ``fenced`` are
+    the homes whose floor rose with this epoch. ``first_floor_ms`` is the floor of
+    homes without one of their own. A key stamped at ``formed_floor_ms`` or later was
+    not tried before this epoch.
+    """
+
+    number: int = 0
+    members: tuple[EpochMember, ...] = ()
+    lost: tuple[EpochMember, ...] = ()
+    floors: tuple[Floor, ...] = ()
+    first_floor_ms: int = 0
+    formed_floor_ms: int = 0
+    fenced: tuple[str, ...] = ()
+    joined: tuple[str, ...] = ()
+
+    def floor(self, home: str) -> int:
+        """Return the floor of a home data centre, in milliseconds since 1970."""
+        for floor in self.floors:
+            if floor.home == home:
+                return floor.stamp_ms
+        return self.first_floor_ms
+
+    def member(self, name: str) -> EpochMember | None:
+        """Return the member of that name."""
+        for member in self.members:
+            if member.name == name:
+                return member
+        return None
+
+    def home_members(self, home: str) -> list[EpochMember]:
+        """Return the members in a data centre."""
+        return [m for m in self.members if m.data_centre == home]
+
+
+class Ballot(NamedTuple):
+    """The order of proposals for one epoch; the proposer's name breaks ties."""
+
+    round: int = 0
+    proposer: str = ""
+
+
+class AcceptedProposal(NamedTuple):
+    """A proposal that this entry has accepted."""
+
+    ballot: Ballot
+    epoch: Epoch
+
+
+class EpochPrepare(NamedTuple):
+    """Asks for a promise to take no older proposal for the epoch after ``base``."""
+
+    base: int
+    ballot: Ballot
+
+
+class EpochPromise(NamedTuple):
+    """A promise, with the proposal accepted so far."""
+
+    base: int
+    ballot: Ballot
+    accepted: AcceptedProposal | None = None
+
+
+class EpochAccept(NamedTuple):
+    """Asks to accept a proposal for the epoch after ``base``."""
+
+    base: int
+    ballot: Ballot
+    epoch: Epoch
+
+
+class EpochAccepted(NamedTuple):
+    """A member has accepted the proposal of a ballot."""
+
+    base: int
+    ballot: Ballot
+
+
+class EpochCommit(NamedTuple):
+    """An epoch that a majority has accepted."""
+
+    epoch: Epoch
+
+
+class EpochSettled(NamedTuple):
+    """The sender holds all its records under an epoch."""
+
+    number: int
+
+
+class EpochQuery(NamedTuple):
+    """Asks for the epoch in force where it is newer than ``base``."""
+
+    base: int
+
+
+EpochMessage = (
+    EpochPrepare
+    | EpochPromise
+    | EpochAccept
+    | EpochAccepted
+    | EpochCommit
+    | EpochSettled
+    | EpochQuery
+)
+
+
+class EpochState:
+    """What one run of an entry knows and has promised about epochs.
+
+    ``marks`` are the members whose records have been received in full under the
+    current epoch; ``settled`` is the newest epoch for which all were.
+
+    :param own: this run of this entry.
+    :param configured: the names of all entries of the group.
+    """
+
+    def __init__(self, *, own: EpochMember, configured: Iterable[str]) -> None:
+        self.own = own
+        self.configured = tuple(sorted(configured))
+        self.current = Epoch()
+        self.promised = Ballot()
+        self.accepted: AcceptedProposal | None = None
+        self.ballot: Ballot | None = None
+        self.proposed: Epoch | None = None
+        self.promises: dict[str, EpochPromise] = {}
+        self.accepts: set[str] = set()
+        self.marks: set[str] = set()
+        self.settled = 0
+        self.peers_settled: dict[str, int] = {}
+        self.adopted_at = float("-inf")
+
+    def is_member(self) -> bool:
+        """Tell whether this run is a member of the current epoch."""
+        return self.own in self.current.members
+
+    def reported(self) -> int:
+        """Return the highest epoch number that this entry has agreed to."""
+        accepted = self.accepted.epoch.number if self.accepted else 0
+        return max(self.current.number, accepted)
+
+    def is_settled(self) -> bool:
+        """Tell whether this entry holds all its records of the current epoch."""
+        return bool(self.current.number) and self.settled == self.current.number
+
+    def all_settled(self) -> bool:
+        """Tell whether every member is known to hold all its records."""
+        return self.is_settled() and all(
+            self.peers_settled.get(m.name) == self.current.number
+            for m in self.current.members
+            if m != self.own
+        )
--- /dev/null
+++ b/testing/support/request_fakes.py
@@ -0,0 +1,329 @@
+"""Entries, callers, a network and an upstream with a clock of their own."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from random import Random
+from typing import Any, NamedTuple
+
+from chervilstage.coordination import (
+    epoch_agreement as agreement,
+    record_ownership as ownership,
+)
+from chervilstage.state.epoch import EpochMember, EpochSettled, EpochState
+from chervilstage.state.outcomes import Answered, NotRun, Outcome, Unknown
+from chervilstage.state.request_records import (
+    Answer,
+    RecordTable,
+    RequestKey,
+    RequestRecord,
+)
+
+LEASE_SECONDS = 1.0
+DEADLINE_SECONDS = 2.0
+EPOCH_START_MS = 1_700_000_000_000
+
+
+class Ask(NamedTuple):
+    """One attempt of a caller; ``relayed`` by the entry it asked."""
+
+    key: RequestKey
+    attempt: int
+    entry: str
+    expires: float
+    relayed: bool = False
+
+
+class Packet(NamedTuple):
+    """A message on its way between two runs of entries."""
+
+    due: float
+    sender: EpochMember
+    to: EpochMember
+    message: Any
+
+
+class CopyAnswer(NamedTuple):
+    """The second holder's answer to a copy."""
+
+    record: RequestRecord
+    taken: bool
+
+
+class FakeEntry:
+    """The state of one run of an entry and what its transport would do with it."""
+
+    def __init__(self, *, own: EpochMember, names: list[str]) -> None:
+        self.state = EpochState(own=own, configured=names)
+        self.table = RecordTable(limit=1000, retention_ms=600_000)
+        self.frozen = False
+        self.copying: dict[str, RequestRecord] = {}
+        self.waiting: dict[str, list[Ask]] = defaultdict(list)
+        self.heard: dict[EpochMember, float] = {}
+        self.fresh: dict[str, tuple[float, int]] = {}
+        self.pushed: set[tuple[int, str]] = set()
+
+
+class World:
+    """The entries and everything between them; every step is one method."""
+
+    def __init__(self, *, layout: dict[str, str], seed: int) -> None:
+        self.now = 0.0
+        self.rng = Random(seed)
+        self.layout = layout
+        self.incarnations: Counter[str] = Counter()
+        self.entries: dict[str, FakeEntry] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.packets: list[Packet] = []
+        self.runs: Counter[str] = Counter()
+        self.sent: list[tuple[FakeEntry, RequestRecord]] = []
+        self.asks: dict[str, Ask] = {}
+        self.outcomes: dict[str, list[tuple[int, Outcome]]] = defaultdict(list)
+        for name in layout:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a run of an entry with nothing in memory."""
+        self.incarnations[name] += 1
+        own = EpochMember(
+            name=name,
+            incarnation=self.incarnations[name],
+            data_centre=self.layout[name],
+        )
+        self.entries[name] = FakeEntry(own=own, names=list(self.layout))
+
+    def now_ms(self) -> int:
+        """Return the wall clock."""
+        return EPOCH_START_MS + int(self.now * 1000)
+
+    def send(self, entry: FakeEntry, to: EpochMember, message: Any) -> None:
+        """Put a message on the network, which may lose or delay it."""
+        if self.rng.random() < 0.98:
+            due = self.now + self.rng.choice([0.001] * 24 + [0.3])
+            self.packets.append(
+                Packet(due=due, sender=entry.state.own, to=to, message=message)
+            )
+
+    def entry_of(self, member: EpochMember) -> FakeEntry | None:
+        """Return the running entry of a member."""
+        entry = self.entries.get(member.name)
+        return entry if entry and entry.state.own == member else None
+
+    def apply(self, entry: FakeEntry, effects: list[Any]) -> None:
+        """Send what an epoch decision asks for."""
+        for effect in effects:
+            if isinstance(effect, agreement.SendEpoch):
+                target = self.entries.get(effect.to)
+                if target:
+                    self.send(entry, target.state.own, effect.message)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, in steps of a heartbeat interval."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.25
+            self.deliver()
+            self.heartbeats()
+            for entry in list(self.entries.values()):
+                if not entry.frozen:
+                    self.tick(entry)
+            self.deliver()
+
+    def heartbeats(self) -> None:
+        """Exchange heartbeats between all entries that can hear each other."""
+        awake = [e for e in self.entries.values() if not e.frozen]
+        for a in awake:
+            for b in awake:
+                if a is not b and not self.is_cut(a.state.own, b.state.own):
+                    a.heard[b.state.own] = self.now
+                    a.fresh[b.state.own.name] = (self.now, b.state.reported())
+
+    def is_cut(self, a: EpochMember, b: EpochMember) -> bool:
+        """Tell whether nothing passes between two entries."""
+        return frozenset((a.name, b.name)) in self.cut
+
+    def tick(self, entry: FakeEntry) -> None:
+        """Propose epochs, push records, and give up copies that got no answer."""
+        state = entry.state
+        live = [m for m, at in entry.heard.items() if self.now - at < LEASE_SECONDS]
+        live.append(state.own)
+        wanted = agreement.next_members(state, live, live)
+        if wanted and self.rng.random() < 0.5:
+            self.apply(entry, agreement.propose(state, wanted, self.now_ms(), self.now))
+        names = {m.name for m in live}
+        reported = {n: epoch for n, (_, epoch) in entry.fresh.items() if n in names}
+        self.apply(entry, agreement.catch_up(state, reported))
+        number = state.current.number
+        for member in state.current.members:
+            if member != state.own and (number, member.name) not in entry.pushed:
+                records = tuple(ownership.records_for(state, entry.table, member))
+                push = ownership.RecordPush(epoch=number, records=records, last=True)
+                self.send(entry, member, push)
+        if state.is_settled():
+            for member in state.current.members:
+                self.send(entry, member, EpochSettled(number=state.settled))
+
+    def deliver(self) -> None:
+        """Deliver what is due, in random order; frozen entries keep it waiting."""
+        for _ in range(40):
+            due = [
+                p
+                for p in self.packets
+                if p.due <= self.now + 0.01 and not self.is_held(p)
+            ]
+            if not due:
+                return
+            self.rng.shuffle(due)
+            for packet in due:
+                self.packets.remove(packet)
+                entry = self.entry_of(packet.to)
+                if entry and not self.is_cut(packet.sender, packet.to):
+                    self.receive(entry, packet.sender, packet.message)
+
+    def is_held(self, packet: Packet) -> bool:
+        """Tell whether a packet waits for a frozen entry."""
+        entry = self.entry_of(packet.to)
+        return bool(entry and entry.frozen)
+
+    def receive(self, entry: FakeEntry, sender: EpochMember, message: Any) -> None:
+        """Pass one message to the decisions of an entry."""
+        state, table = entry.state, entry.table
+        if isinstance(message, Ask):
+            self.begin(entry, message)
+        elif isinstance(message, ownership.RecordCopy):
+            taken = ownership.receive_copy(state, table, message)
+            answer = CopyAnswer(record=message.record, taken=taken)
+            self.send(entry, sender, answer)
+        elif isinstance(message, CopyAnswer):
+            self.on_copy_answer(entry, sender, message)
+        elif isinstance(message, ownership.RecordPush):
+            if ownership.receive_push(state, table, sender.name, message):
+                self.send(entry, sender, ("pushed", message))
+        elif isinstance(message, tuple) and message[0] == "pushed":
+            entry.pushed.add((message[1].epoch, sender.name))
+            for record in message[1].records:
+                ownership.note_acknowledged(table, record, sender)
+        elif isinstance(message, tuple) and message[0] == "outcome":
+            self.reply(message[1], message[2])
+        else:
+            effects = agreement.receive_epoch(state, sender.name, message, self.now)
+            self.apply(entry, effects)
+
+    def ask(self, key: RequestKey, attempt: int, entry: str) -> None:
+        """Let a caller send an attempt to an entry."""
+        expires = self.now + DEADLINE_SECONDS
+        ask = Ask(key=key, attempt=attempt, entry=entry, expires=expires)
+        self.asks[key.text] = ask
+        if entry in self.entries and not self.entries[entry].frozen:
+            self.begin(self.entries[entry], ask)
+
+    def begin(self, entry: FakeEntry, ask: Ask) -> None:
+        """Begin an attempt on an entry."""
+        if self.now >= ask.expires:
+            return
+        decision = ownership.begin_request(
+            entry.state,
+            entry.table,
+            ask.key,
+            b"",
+            ask.attempt,
+            entry.waiting.keys(),
+            self.now_ms(),
+            self.now,
+        )
+        if isinstance(decision, ownership.Finish):
+            self.answer(entry, ask, decision.outcome)
+        elif isinstance(decision, ownership.Relay):
+            if ask.relayed:
+                outcome = ownership.unsent(ask.attempt, "not the owner")
+                self.answer(entry, ask, outcome)
+            else:
+                self.send(entry, decision.owner, ask._replace(relayed=True))
+        elif isinstance(decision, ownership.Join):
+            entry.waiting[ask.key.text].append(ask)
+        else:
+            entry.waiting[ask.key.text].append(ask)
+            entry.copying[ask.key.text] = decision.record
+            copy = ownership.RecordCopy(
+                epoch=entry.state.current.number, record=decision.record
+            )
+            assert decision.second
+            self.send(entry, decision.second, copy)
+
+    def on_copy_answer(
+        self, entry: FakeEntry, sender: EpochMember, answer: CopyAnswer
+    ) -> None:
+        """Send the request upstream if its copy was taken."""
+        if answer.taken:
+            ownership.note_acknowledged(entry.table, answer.record, sender)
+        if entry.copying.get(answer.record.key.text) == answer.record:
+            self.end_copying(entry, answer.record, answer.taken)
+
+    def end_copying(self, entry: FakeEntry, record: RequestRecord, taken: bool) -> None:
+        """Run a copied request, or report it as not run."""
+        del entry.copying[record.key.text]
+        fresh = [
+            name
+            for name, (at, epoch) in entry.fresh.items()
+            if self.now - at < LEASE_SECONDS and epoch == entry.state.current.number
+        ]
+        expired = all(self.now >= a.expires for a in entry.waiting[record.key.text])
+        if not expired and ownership.may_send(entry.state, record, taken, fresh):
+            self.sent.append((entry, record))
+            return
+        ownership.reopen(entry.table, record)
+        self.finish(entry, record, NotRun(reason="not copied"))
+
+    def give_up_copies(self, entry: FakeEntry) -> None:
+        """Treat copies without an answer as refused."""
+        for record in list(entry.copying.values()):
+            self.end_copying(entry, record, False)
+
+    def upstream(self, fate: str) -> None:
+        """Let the upstream treat the oldest request: run, refuse, or lose it."""
+        if not self.sent:
+            return
+        entry, record = self.sent.pop(0)
+        text = record.key.text
+        running = self.entries.get(entry.state.own.name) is entry
+        if fate == "refuse":
+            if running:
+                ownership.reopen(entry.table, record)
+                self.finish(entry, record, NotRun(reason="refused"))
+            return
+        self.runs[text] += 1
+        if not running:
+            return
+        if fate == "lose answer":
+            self.finish(entry, record, Unknown(reason="lost"))
+            return
+        body = f"{text} run {self.runs[text]}".encode()
+        answer = Answer(status=200, headers=(), body=body)
+        done = ownership.finish_record(entry.table, record, answer)
+        self.finish(entry, done, Answered(answer=answer))
+
+    def finish(self, entry: FakeEntry, record: RequestRecord, outcome: Outcome) -> None:
+        """Copy the last form of a record and answer those who wait for it."""
+        found = ownership.holders(entry.state.current, record.key)
+        for member in found or ():
+            if member and member != entry.state.own:
+                copy = ownership.RecordCopy(
+                    epoch=entry.state.current.number, record=record
+                )
+                self.send(entry, member, copy)
+        for ask in entry.waiting.pop(record.key.text, []):
+            self.answer(entry, ask, outcome)
+
+    def answer(self, entry: FakeEntry, ask: Ask, outcome: Outcome) -> None:
+        """Return an outcome to the caller, through the entry it asked."""
+        if ask.entry == entry.state.own.name:
+            self.reply(ask, outcome)
+        elif ask.entry in self.entries:
+            to = self.entries[ask.entry].state.own
+            self.send(entry, to, ("outcome", ask._replace(relayed=False), outcome))
+
+    def reply(self, ask: Ask, outcome: Outcome) -> None:
+        """Give the caller the outcome of its present attempt."""
+        if self.asks.get(ask.key.text) == ask and self.now < ask.expires:
+            del self.asks[ask.key.text]
+            self.outcomes[ask.key.text].append((ask.attempt, outcome))
