Carry requests with outcomes, retries, keyed records and a planned stop

The front end relayed one attempt a connection, passed its headers on as they were and gave no bound on waiting. It now sends attempts on kept or new connections with their identity and the deadline left, passes whole answers or cuts the caller's connection, ends the work of callers that leave, and sheds early with a true refusal. Requests with a key go to the owner of the key, which copies the record before it sends.

Ruled out: socket peeking for stale connections (asyncio's transport socket has no recv; poll on its descriptor takes its place), and kept connections for requests that are not idempotent, since one that the upstream has just closed leaves the outcome unknown.

--- /dev/null
+++ b/src/chervilstage/coordination/admission.py
@@ -0,0 +1,44 @@
+"""Which requests of a service may wait for a permit."""
+
+from __future__ import annotations
+
+from ..errors.requests import ConnectionLimitError, OverloadedError
+from ..state.request_load import RequestLoad
+
+MAXIMUM_CONNECTIONS = 2_000
+MAXIMUM_FEEDS = 2_000
+MAXIMUM_WAITING = 512
+# A request that waits longer than this share of its deadline leaves too little time
+# to be answered; it is refused at once, while its caller can still go elsewhere.
+WAIT_SHARE = 0.5
+SMOOTHING = 0.1
+
+
+def admit_connection(load: RequestLoad, service: str) -> None:
+    """Check that a service may have another connection.
+
+    :raises ConnectionLimitError: it has as many as it may have.
+    """
+    if load.connections >= MAXIMUM_CONNECTIONS:
+        raise ConnectionLimitError(service=service, limit=MAXIMUM_CONNECTIONS)
+
+
+def admit_request(load: RequestLoad, service: str, left: float) -> float:
+    """Return how long a request may wait for a permit, in seconds.
+
+    :param left: seconds until the caller's deadline.
+    :raises OverloadedError: it would wait too long for an answer in time.
+    """
+    limit = left * WAIT_SHARE
+    expected = load.waiting * load.interval
+    if load.waiting >= MAXIMUM_WAITING or expected > limit:
+        raise OverloadedError(service=service, waiting=load.waiting)
+    return limit
+
+
+def note_permit(load: RequestLoad, now: float) -> None:
+    """Take note of a granted permit while others wait."""
+    if load.waiting:
+        gap = min(now - load.granted_at, 1.0)
+        load.interval += SMOOTHING * (gap - load.interval)
+    load.granted_at = now
--- a/src/chervilstage/coordination/epoch_agreement.py
+++ b/src/chervilstage/coordination/epoch_agreement.py
@@ -180,7 +180,6 @@
     state.ballot = None
     state.proposed = None
     state.marks = set()
-    state.peers_settled = {}
     state.adopted_at = now
     mark_received(state, state.own.name)
     return [EpochAdopted(epoch=epoch)]
--- a/src/chervilstage/coordination/record_ownership.py
+++ b/src/chervilstage/coordination/record_ownership.py
@@ -97,17 +97,17 @@
     )
 
 
-def has_lease(state: EpochState, home: str, fresh: Collection[str]) -> bool:
+def has_lease(state: EpochState, home: str, fresh: Collection[EpochMember]) -> bool:
     """Tell whether no later epoch can have given this entry's keys to others.
 
     :param fresh: peers that were under the same epoch less than a lease ago.
     """
-    seen = {*fresh, state.own.name}
-    members = {m.name for m in state.current.members}
+    seen = {*fresh, state.own}
+    members = set(state.current.members)
     if len(seen & members) * 2 > len(members):
         return True
-    at_home = {m.name for m in state.current.home_members(home)}
-    return state.own.name in at_home and at_home <= seen
+    at_home = set(state.current.home_members(home))
+    return state.own in at_home and at_home <= seen
 
 
 def begin_request(
@@ -158,7 +158,10 @@
 
 
 def may_send(
-    state: EpochState, record: RequestRecord, acknowledged: bool, fresh: Collection[str]
+    state: EpochState,
+    record: RequestRecord,
+    acknowledged: bool,
+    fresh: Collection[EpochMember],
 ) -> bool:
     """Tell whether the request of a copied record may be sent now."""
     found = holders(state.current, record.key)
--- a/src/chervilstage/protocol/kinds.py
+++ b/src/chervilstage/protocol/kinds.py
@@ -28,8 +28,9 @@
     UPSTREAM_FETCH = 45
 
     RECORD_COPY = 60
-    RECORD_FETCH = 61
+    RECORD_PUSH = 61
     REQUEST_RELAY = 62
+    EPOCH = 63
 
     VOTE = 80
     APPEND = 81
--- /dev/null
+++ b/src/chervilstage/protocol/request_headers.py
@@ -0,0 +1,75 @@
+"""The headers of requests and answers, and the form of idempotency keys."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Mapping
+
+from ..errors.requests import KeyMalformedError, MalformedRequestError
+from ..state.request_records import Headers, RequestKey
+
+KEY_HEADER = "idempotency-key"
+TIMEOUT_HEADER = "chervilstage-timeout-ms"
+ATTEMPT_HEADER = "chervilstage-attempt"
+ATTEMPT_ID_HEADER = "chervilstage-attempt-id"
+OUTCOME_HEADER = "chervilstage-outcome"
+CODE_HEADER = "chervilstage-code"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+
+KEY_FORM = re.compile(
+    r"v1\.(?P<stamp>[0-9]{13})\.(?P<home>[a-z0-9][a-z0-9-]{0,62})"
+    r"\.(?P<random>[A-Za-z0-9_-]{1,64})"
+)
+# Fields that belong to one connection (RFC 9110, section 7.6.1), and those that
+# entries set themselves.
+HOP_FIELDS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "upgrade",
+        "expect",
+        TIMEOUT_HEADER,
+        ATTEMPT_ID_HEADER,
+    }
+)
+
+
+def parse_key(text: str) -> RequestKey:
+    """Parse an idempotency key of the form ``v1.UNIX_MS.DATA_CENTRE.RANDOM``.
+
+    :raises KeyMalformedError: it has another form.
+    """
+    found = KEY_FORM.fullmatch(text)
+    if not found:
+        raise KeyMalformedError(reason="not of the form v1.UNIX_MS.DATA_CENTRE.RANDOM")
+    return RequestKey(text=text, stamp_ms=int(found["stamp"]), home=found["home"])
+
+
+def positive_number(headers: Mapping[str, str], name: str, default: int) -> int:
+    """Return a header that holds a positive whole number.
+
+    :raises MalformedRequestError: it holds something else.
+    """
+    text = headers.get(name)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or not int(text[:10]) > 0:
+        raise MalformedRequestError(reason=f"{name} is not a positive number")
+    return int(text[:10])
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the fields that are passed on, without those of one connection."""
+    fields = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in headers]
+    named = {
+        token.strip().lower()
+        for name, value in fields
+        if name == "connection"
+        for token in value.split(",")
+    }
+    dropped = HOP_FIELDS | (named - {"transfer-encoding", "content-length"})
+    return tuple((n, v) for n, v in fields if n not in dropped)
--- a/src/chervilstage/state/outcomes.py
+++ b/src/chervilstage/state/outcomes.py
@@ -17,7 +17,6 @@
     """Nothing was sent, or every upstream asked refused before running it."""
 
     reason: str
-    code: str = ""
 
 
 class Unknown(NamedTuple):
@@ -26,7 +25,15 @@
     reason: str
 
 
-Outcome = Answered | NotRun | Unknown
+class Refused(NamedTuple):
+    """The request cannot be accepted in this form; its key may have run before."""
+
+    status: int
+    code: str
+    reason: str
+
+
+Outcome = Answered | NotRun | Unknown | Refused
 
 
 class KeyedRequest(NamedTuple):
--- /dev/null
+++ b/src/chervilstage/state/request_load.py
@@ -0,0 +1,29 @@
+"""The load of one service on an entry, and its budget of retries."""
+
+from __future__ import annotations
+
+
+class RequestLoad:
+    """What a service has in flight and waiting, and how fast permits come.
+
+    ``interval`` is the smoothed time in seconds between permits while requests wait.
+    """
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self.waiting = 0
+        self.in_flight = 0
+        self.feeds = 0
+        self.interval = 0.0
+        self.granted_at = float("-inf")
+
+
+class RetryBudget:
+    """Retries that a service may still make.
+
+    Each first attempt adds a share of a retry, up to the limit.
+    """
+
+    def __init__(self, *, limit: float) -> None:
+        self.limit = limit
+        self.retries = limit
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -24,6 +24,7 @@
 from .metrics import metrics_hooks
 from .peer_link import PeerLink
 from .registration import Registration
+from .request_service import RequestService
 
 
 def build_entry(settings: EntrySettings, key: bytes) -> Application:
@@ -61,11 +62,22 @@
         counters=counters,
         unreachable=set(),
     )
+    drain_seconds = settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
+    requests = RequestService(
+        in_force=in_force,
+        counters=counters,
+        capacity=capacity,
+        membership=membership,
+        link=link,
+        frames=frames,
+        server=frame_server,
+        drain_seconds=drain_seconds,
+    )
     front_ends = FrontEnds(
         host=host,
         in_force=in_force,
         counters=counters,
-        capacity=capacity,
+        requests=requests,
         flows=flows,
     )
     flow_link = FlowLink(state=flows, link=link, release=front_ends.release)
@@ -109,14 +121,13 @@
             "upstreams_registered": len(registry.records),
             "members_live": len(members.live()),
             **phase_gauges(registry),
+            **requests.gauges(),
         }
 
     serve_explanations(frame_server, flows)
     serve_entry_status(frame_server, in_force, gauges, client.group)
 
-    app = Application(
-        name=name, drain_seconds=settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
-    )
+    app = Application(name=name, drain_seconds=drain_seconds)
     app.add(
         metrics_hooks(
             address=Address(host=host, port=settings["metrics_port"]),
@@ -133,6 +144,7 @@
         front_ends,
         registration,
         client,
+        requests,
     )
     for part in parts:
         app.add(part.hooks())
--- a/src/chervilstage/transport/front_ends.py
+++ b/src/chervilstage/transport/front_ends.py
@@ -13,9 +13,9 @@
 from ..state.in_force import ConfigurationInForce
 from ..state.types import UpstreamId
 from .application import Hooks
-from .capacity import UpstreamCapacity
 from .http_front import HttpFrontEnd
 from .packet_relay import ServiceRelay
+from .request_service import RequestService
 
 
 class OpenFrontEnd(NamedTuple):
@@ -39,14 +39,14 @@
         host: str,
         in_force: ConfigurationInForce,
         counters: Counters,
-        capacity: UpstreamCapacity,
+        requests: RequestService,
         flows: FlowState,
     ) -> None:
         self.host = host
         self.flows = flows
         self.in_force = in_force
         self.counters = counters
-        self.capacity = capacity
+        self.requests = requests
         self.open: dict[str, OpenFrontEnd] = {}
         self.group: TaskGroup | None = None
 
@@ -72,12 +72,7 @@
         relay = ServiceRelay(
             host=self.host, service=service, flows=self.flows, counters=self.counters
         )
-        requests = HttpFrontEnd(
-            host=self.host,
-            service=service,
-            capacity=self.capacity,
-            counters=self.counters,
-        )
+        requests = self.requests.front_end(self.host, service)
         scopes = (relay.start(self.group), requests.start(self.group))
         self.open[service.name] = OpenFrontEnd(
             service=service, relay=relay, requests=requests, scopes=scopes
--- /dev/null
+++ b/src/chervilstage/transport/group_epoch.py
@@ -0,0 +1,245 @@
+"""Keeps this entry in the group epoch and its records where they belong."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..coordination.epoch_agreement import (
+    EpochEffect,
+    SendEpoch,
+    catch_up,
+    next_members,
+    propose,
+    receive_epoch,
+)
+from ..coordination.record_ownership import (
+    RecordPush,
+    note_acknowledged,
+    records_for,
+)
+from ..errors import ChervilstageError
+from ..protocol.epoch_messages import decode_epoch_message, encode_epoch_message
+from ..protocol.kinds import Kind
+from ..protocol.request_messages import decode_taken, encode_push
+from ..state.epoch import EpochMember, EpochSettled, EpochState
+from ..state.members import Member, MemberTable
+from ..state.request_records import RecordTable, RequestRecord
+from ..state.types import Address
+from .event_log import log_event
+from .frame_channel import FrameClient
+from .peer_link import PeerLink
+
+TICK_SECONDS = 0.25
+# Between two proposals of one entry; random, so that two proposers get out of step.
+PROPOSE_CHANCE = 0.5
+PUSH_BYTES = 1024 * 1024
+PUSH_SECONDS = 2.0
+SETTLED_TICKS = 4
+SETTLED_REPEAT_TICKS = 40
+
+
+class GroupEpoch:
+    """The epoch of this entry, its votes, and the copying of records between epochs."""
+
+    def __init__(
+        self,
+        *,
+        state: EpochState,
+        table: RecordTable,
+        members: MemberTable,
+        link: PeerLink,
+        frames: FrameClient,
+        rng: Random,
+    ) -> None:
+        self.state = state
+        self.table = table
+        self.members = members
+        self.link = link
+        self.frames = frames
+        self.rng = rng
+        self.pushed: set[tuple[int, EpochMember]] = set()
+        self.pushing: set[EpochMember] = set()
+        self.ticks = 0
+        self.group: TaskGroup | None = None
+        self.changed = anyio.Event()
+        link.register(Kind.EPOCH, self.receive)
+
+    def receive(self, sender: str, body: bytes) -> None:
+        """Take a message about epochs."""
+        message = decode_epoch_message(body)
+        now = anyio.current_time()
+        self.apply(receive_epoch(self.state, sender, message, now))
+
+    def apply(self, effects: list[EpochEffect]) -> None:
+        """Send messages, and begin to copy records after a change."""
+        for effect in effects:
+            if isinstance(effect, SendEpoch):
+                if effect.to in self.link.peers:
+                    body = encode_epoch_message(effect.message)
+                    self.link.send(effect.to, Kind.EPOCH, body)
+            else:
+                self.log_adopted()
+                self.changed.set()
+                self.changed = anyio.Event()
+                self.push_all()
+        report = self.members.report
+        if report.epoch != self.state.reported():
+            self.members.report = report._replace(epoch=self.state.reported())
+
+    def log_adopted(self) -> None:
+        """Log the epoch in force."""
+        epoch = self.state.current
+        log_event(
+            "epoch_in_force",
+            epoch=epoch.number,
+            members=",".join(m.name for m in epoch.members),
+            fenced=",".join(epoch.fenced),
+        )
+
+    def live_members(self) -> list[EpochMember]:
+        """Return the runs of entries that are live, this one included."""
+        table = self.members
+        live = [run_of(table.members[name]) for name in table.live_names]
+        return [self.state.own, *live]
+
+    def fresh_peers(self) -> list[EpochMember]:
+        """Return the members that granted this entry a lease under its epoch."""
+        now, number = anyio.current_time(), self.state.current.number
+        return [
+            run_of(member)
+            for member in self.members.members.values()
+            if now - member.echoed_at < self.members.lease_seconds
+            and member.report.epoch == number
+        ]
+
+    def tick(self) -> None:
+        """Propose what is due and make up for what was lost."""
+        self.ticks += 1
+        self.table.expire(_now_ms())
+        live = self.live_members()
+        staying = [m for m in live if self.members.is_staying(m.name)]
+        wanted = next_members(self.state, live, staying)
+        if wanted and self.rng.random() < PROPOSE_CHANCE:
+            now = anyio.current_time()
+            self.apply(propose(self.state, wanted, _now_ms(), now))
+        reported = {
+            name: self.members.members[name].report.epoch
+            for name in self.members.live_names
+        }
+        self.apply(catch_up(self.state, reported))
+        self.push_all()
+        # Once all is known, it is repeated only for a member that missed it.
+        every = SETTLED_REPEAT_TICKS if self.state.all_settled() else SETTLED_TICKS
+        if self.ticks % every == 0:
+            self.tell_settled()
+
+    def tell_settled(self) -> None:
+        """Tell the members that this entry's records are complete."""
+        if not self.state.is_settled():
+            return
+        message = encode_epoch_message(EpochSettled(number=self.state.settled))
+        for member in self.state.current.members:
+            if member.name in self.link.peers:
+                self.link.send(member.name, Kind.EPOCH, message)
+
+    def push_all(self) -> None:
+        """Copy records to each member that has not acknowledged all of them."""
+        number = self.state.current.number
+        for member in self.state.current.members:
+            if member == self.state.own or member in self.pushing or self.group is None:
+                continue
+            if (number, member) not in self.pushed:
+                self.pushing.add(member)
+                self.group.start_soon(self.push, member)
+
+    async def push(self, member: EpochMember) -> None:
+        """Copy this entry's records to one member and mark them as complete."""
+        epoch = self.state.current
+        try:
+            records = records_for(self.state, self.table, member)
+            parts = batches(records)
+            for position, part in enumerate(parts):
+                last = position == len(parts) - 1
+                push = RecordPush(epoch=epoch.number, records=part, last=last)
+                if not await self.send_push(member, push):
+                    return
+            self.pushed = {(n, m) for n, m in self.pushed if n == epoch.number}
+            self.pushed.add((epoch.number, member))
+            if records:
+                log_event("records_copied", to=member.name, records=len(records))
+        except ChervilstageError:
+            # The next tick tries again while the member is in the epoch.
+            return
+        finally:
+            self.pushing.discard(member)
+
+    async def send_push(self, member: EpochMember, push: RecordPush) -> bool:
+        """Send records and tell whether the member has taken them."""
+        address = self.address_of(member)
+        if address is None:
+            return False
+        answer = await self.frames.call(
+            address, Kind.RECORD_PUSH, encode_push(push), PUSH_SECONDS
+        )
+        if not decode_taken(answer):
+            return False
+        for record in push.records:
+            note_acknowledged(self.table, record, member)
+        return True
+
+    def address_of(self, member: EpochMember) -> Address | None:
+        """Return the peer address of a member."""
+        peer = self.link.peers.get(member.name)
+        return peer.address if peer else None
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await anyio.sleep(TICK_SECONDS)
+
+    async def start(self, group: TaskGroup) -> None:
+        """Begin to tick."""
+        self.group = group
+        group.start_soon(self.run)
+
+    async def wait_handed_over(self) -> None:
+        """Wait until the others have an epoch without this entry, and its records."""
+        while self.link.peers and len(self.members.live()) > 1:
+            epoch = self.state.current
+            done = {m for n, m in self.pushed if n == epoch.number}
+            if not self.state.is_member() and done >= set(epoch.members):
+                return
+            await anyio.sleep(TICK_SECONDS / 5)
+
+
+def run_of(member: Member) -> EpochMember:
+    """Return the run of an entry that its last heartbeat came from."""
+    return EpochMember(
+        name=member.peer.name,
+        incarnation=member.report.incarnation,
+        data_centre=member.peer.data_centre,
+    )
+
+
+def batches(records: list[RequestRecord]) -> list[tuple[RequestRecord, ...]]:
+    """Return records in parts that fit into frames; at least one part."""
+    parts: list[tuple[RequestRecord, ...]] = []
+    part: list[RequestRecord] = []
+    size = 0
+    for record in records:
+        size += len(record.answer.body) + 256 if record.answer else 256
+        part.append(record)
+        if size > PUSH_BYTES:
+            parts.append(tuple(part))
+            part, size = [], 0
+    parts.append(tuple(part))
+    return parts
+
+
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/src/chervilstage/transport/http_connection.py
+++ b/src/chervilstage/transport/http_connection.py
@@ -9,10 +9,15 @@
 import h11
 from anyio.abc import ByteStream
 
-from ..errors.requests import BodyTooLargeError, MalformedRequestError
+from ..errors.requests import (
+    BodyTooLargeError,
+    HeaderTooLargeError,
+    MalformedRequestError,
+)
 
 READ_BYTES = 65_536
 MAXIMUM_HEADER_BYTES = 32 * 1024
+HTTP_HEADER_TOO_LARGE = 431
 
 Role = type[h11.CLIENT] | type[h11.SERVER]
 HeaderList = list[tuple[bytes, bytes]]
@@ -66,6 +71,8 @@
             try:
                 event = self.codec.next_event()
             except h11.RemoteProtocolError as error:
+                if error.error_status_hint == HTTP_HEADER_TOO_LARGE:
+                    raise HeaderTooLargeError(limit=MAXIMUM_HEADER_BYTES) from error
                 raise MalformedRequestError(reason=error) from error
             if isinstance(event, h11.Event) or event is h11.PAUSED:
                 return event
--- a/src/chervilstage/transport/http_front.py
+++ b/src/chervilstage/transport/http_front.py
@@ -2,40 +2,58 @@
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import anyio
 import h11
 from anyio import CancelScope
-from anyio.abc import ByteStream, SocketStream, TaskGroup
+from anyio.abc import ByteStream, TaskGroup
 
+from ..coordination.admission import admit_connection
+from ..coordination.record_ownership import unsent
 from ..errors import ChervilstageError
 from ..errors.requests import (
-    MalformedRequestError,
-    OutcomeUnknownError,
+    CallerLeftError,
+    ConnectionLimitError,
     RequestNotRunError,
 )
-from ..errors.upstreams import NoUpstreamError
-from ..state.capacity import AttemptResult, Permit
-from ..state.configuration import Service
+from ..protocol.request_headers import (
+    ATTEMPT_HEADER,
+    KEY_HEADER,
+    TIMEOUT_HEADER,
+    end_to_end,
+    positive_number,
+)
+from ..state.configuration import Service, idempotent_by_rules
 from ..state.counters import Counters
-from ..state.types import UpstreamRecord
-from .capacity import UpstreamCapacity
+from ..state.outcomes import Answered, KeyedRequest, Outcome
+from .answer_relay import AnswerRelay
+from .caller_watch import unless_caller_leaves
 from .event_log import log_event
-from .http_connection import HttpConnection, HttpResponse
-from .http_server import error_response, send_response
+from .http_connection import HttpConnection, HttpResponse, header_map
+from .http_server import send_response
+from .outcome_responses import failure_response, outcome_response
+from .request_body import read_prefix, read_whole
+from .service_requests import ServiceRequests
+from .upstream_exchange import CLOSED, Exchange, OutgoingRequest
 
-TIMEOUT_HEADER = "chervilstage-timeout-ms"
-OUTCOME_HEADER = "chervilstage-outcome"
-ACQUIRE_SECONDS = 1.0
-CONNECT_SECONDS = 1.0
 IDLE_SECONDS = 60.0
+MAXIMUM_TIMEOUT_MS = 3_600_000
+
+# A feed counts as one only some time after its request; this bounds how late that
+# is noticed.
+QUIET_POLL_SECONDS = 0.1
+
+SubmitKeyed = Callable[[KeyedRequest], Awaitable[Outcome]]
 
 
 class HttpFrontEnd:
     """Relays the requests of one service.
 
     :param host: the address of this entry for callers.
+    :param submit: runs a non-idempotent request that carries a key.
     """
 
     def __init__(
@@ -43,88 +61,192 @@
         *,
         host: str,
         service: Service,
-        capacity: UpstreamCapacity,
+        requests: ServiceRequests,
         counters: Counters,
+        submit: SubmitKeyed,
     ) -> None:
         self.host = host
         self.service = service
-        self.capacity = capacity
+        self.requests = requests
         self.counters = counters
+        self.submit = submit
+        self.stopping = False
+        self.closing_idle = False
+        self.feeds_end = anyio.Event()
+        self.idle_scopes: set[CancelScope] = set()
+        self.serving = 0
+        self.quiet = anyio.Event()
+        self.listening = CancelScope()
 
     async def serve_connection(self, stream: ByteStream) -> None:
         """Relay the requests of one caller's connection."""
+        load = self.requests.load
         async with stream:
             connection = HttpConnection(stream=stream, role=h11.SERVER)
-            with suppress(
-                anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError
-            ):
+            load.connections += 1
+            try:
+                admit_connection(load, self.service.name)
                 while await self.serve_request(connection):
                     pass
+            except ConnectionLimitError as error:
+                self.note_failure(error)
+                with suppress(*CLOSED, h11.LocalProtocolError):
+                    await send_response(connection, failure_response(error))
+            except (*CLOSED, TimeoutError, h11.LocalProtocolError) as error:
+                self.counters.add("caller_connections_cut", type(error).__name__)
+            except Exception as error:
+                # A fault in the work for one connection must not end the others.
+                self.counters.add("caller_connections_cut", "fault")
+                log_event(
+                    "connection_fault",
+                    level=logging.ERROR,
+                    service=self.service.name,
+                    reason=repr(error),
+                )
+            finally:
+                load.connections -= 1
 
     async def serve_request(self, connection: HttpConnection) -> bool:
         """Relay one request and tell whether the connection can go on."""
         try:
-            with anyio.fail_after(IDLE_SECONDS):
-                request = await connection.next_event()
-            if not isinstance(request, h11.Request):
+            request = await self.next_request(connection)
+            if request is None:
                 return False
-            await self.relay(connection, request)
+            self.serving += 1
+            try:
+                await self.relay(connection, request)
+            finally:
+                self.serving -= 1
+                if not self.serving:
+                    self.quiet.set()
+        except CallerLeftError as error:
+            self.note_failure(error)
+            return False
         except ChervilstageError as error:
-            self.counters.add("requests_failed", error.code)
-            if connection.codec.our_state is not h11.SEND_RESPONSE:
+            self.note_failure(error)
+            if connection.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
                 return False
-            await send_response(connection, failure_response(error))
-        return connection.can_continue()
+            await self.reply(connection, failure_response(error))
+        return not self.stopping and connection.can_continue()
+
+    async def next_request(self, connection: HttpConnection) -> h11.Request | None:
+        """Return the caller's next request, if one comes before a stop."""
+        if self.closing_idle:
+            return None
+        with anyio.move_on_after(IDLE_SECONDS) as scope:
+            self.idle_scopes.add(scope)
+            try:
+                event = await connection.next_event()
+            finally:
+                self.idle_scopes.discard(scope)
+            return event if isinstance(event, h11.Request) else None
+        return None
+
+    def note_failure(self, error: ChervilstageError) -> None:
+        """Count and log a request that failed."""
+        self.counters.add("requests_failed", error.code)
+        log_event(
+            "request_failed",
+            level=logging.WARNING,
+            service=self.service.name,
+            code=error.code,
+            reason=error,
+        )
 
     async def relay(self, caller: HttpConnection, request: h11.Request) -> None:
-        """Send a request to an upstream and stream the answer back.
+        """Run a request and give the caller its outcome.
 
-        :raises RequestNotRunError: nothing was sent to an upstream.
-        :raises OutcomeUnknownError: the request was sent but no answer came.
+        :raises ChervilstageError: the request is refused, or its answer was cut.
         """
-        permit = await self.acquire()
-        result = AttemptResult.FAILED
-        try:
-            stream = await self.connect(permit.upstream)
-            async with stream:
-                target = HttpConnection(stream=stream, role=h11.CLIENT)
-                await send_request(caller, target, request)
-                await return_response(caller, target)
-            result = AttemptResult.SUCCEEDED
-        except (OSError, anyio.BrokenResourceError, MalformedRequestError) as error:
-            raise OutcomeUnknownError(reason=type(error).__name__) from error
-        finally:
-            seconds = anyio.current_time() - permit.granted_at
-            self.capacity.release(permit=permit, result=result, seconds=seconds)
+        headers = header_map(request.headers)
+        method = request.method.decode("ascii")
+        target = request.target.decode("ascii")
+        rules = self.requests.rules()
+        timeout_ms = positive_number(headers, TIMEOUT_HEADER, rules.timeout_ms)
+        timeout_ms = min(timeout_ms, MAXIMUM_TIMEOUT_MS)
+        idempotent = idempotent_by_rules(rules, method, target)
+        if KEY_HEADER in headers and not idempotent:
+            await self.relay_keyed(caller, request, timeout_ms)
+            return
+        deadline = anyio.current_time() + timeout_ms / 1000
+        body, rest = await read_prefix(caller, request, rules.max_body_bytes, deadline)
+        outgoing = OutgoingRequest(
+            method=method,
+            target=target,
+            headers=end_to_end(request.headers),
+            body=body,
+            rest=rest,
+            caller=caller,
+        )
+        begun = await self.requests.begin(outgoing, deadline, idempotent)
+        if not isinstance(begun, Exchange):
+            await self.reply_outcome(caller, begun)
+            return
+        relay = AnswerRelay(
+            requests=self.requests,
+            exchange=begun,
+            caller=caller,
+            stopping=lambda: self.stopping,
+            feeds_end=self.feeds_end,
+        )
+        await relay.run()
         self.counters.add("requests_answered", self.service.name)
 
-    async def acquire(self) -> Permit:
-        """Return a permit for one attempt.
-
-        :raises RequestNotRunError: no upstream can take it.
-        """
+    async def relay_keyed(
+        self, caller: HttpConnection, request: h11.Request, timeout_ms: int
+    ) -> None:
+        """Run a request that carries an idempotency key, at most once."""
+        headers = header_map(request.headers)
+        started = anyio.current_time()
+        rules = self.requests.rules()
+        attempt = positive_number(headers, ATTEMPT_HEADER, 0)
         try:
-            return await self.capacity.acquire(
-                service=self.service.name,
-                excluded=frozenset(),
-                deadline=anyio.current_time() + ACQUIRE_SECONDS,
+            body = await read_whole(
+                caller, request, rules.max_body_bytes, started + timeout_ms / 1000
             )
-        except NoUpstreamError as error:
-            raise RequestNotRunError(reason=error) from error
+        except RequestNotRunError as error:
+            await self.reply_outcome(caller, unsent(attempt, str(error)))
+            return
+        used_ms = int((anyio.current_time() - started) * 1000)
+        fields = end_to_end(request.headers)
+        framing = ("transfer-encoding", "content-length", ATTEMPT_HEADER)
+        keyed = KeyedRequest(
+            key=headers[KEY_HEADER],
+            service=self.service.name,
+            method=request.method.decode("ascii"),
+            target=request.target.decode("ascii"),
+            headers=tuple((n, v) for n, v in fields if n not in framing),
+            body=body,
+            attempt=attempt,
+            timeout_ms=max(1, timeout_ms - used_ms),
+        )
+        outcome = await unless_caller_leaves(caller, lambda: self.submit(keyed))
+        await self.reply_outcome(caller, outcome)
 
-    async def connect(self, upstream: UpstreamRecord) -> SocketStream:
-        """Open a connection to an upstream.
+    async def reply_outcome(self, caller: HttpConnection, outcome: Outcome) -> None:
+        """Give the caller an outcome that is known in full."""
+        kind = type(outcome).__name__.lower()
+        if isinstance(outcome, Answered):
+            self.counters.add("requests_answered", self.service.name)
+        else:
+            self.counters.add("request_outcomes", f"{self.service.name} {kind}")
+            log_event(
+                "request_not_answered",
+                service=self.service.name,
+                outcome=kind,
+                reason=outcome.reason,
+            )
+        await self.reply(caller, outcome_response(outcome))
 
-        :raises RequestNotRunError: it does not accept connections.
-        """
-        try:
-            with anyio.fail_after(CONNECT_SECONDS):
-                return await anyio.connect_tcp(*upstream.request_address)
-        except (OSError, TimeoutError) as error:
-            raise RequestNotRunError(reason=error) from error
+    async def reply(self, caller: HttpConnection, response: HttpResponse) -> None:
+        """Send a whole response, the last one of the connection at a stop."""
+        if self.stopping:
+            headers = {**response.headers, "connection": "close"}
+            response = response._replace(headers=headers)
+        await send_response(caller, response)
 
     async def listen(self, scope: CancelScope) -> None:
-        """Accept callers until the scope is cancelled."""
+        """Accept callers; a cancelled scope ends their connections too."""
         listener = await anyio.create_tcp_listener(
             local_host=self.host, local_port=self.service.tcp_port
         )
@@ -134,7 +256,10 @@
             address=f"{self.host}:{self.service.tcp_port}",
         )
         with scope:
-            await listener.serve(self.serve_connection)
+            async with anyio.create_task_group() as group:
+                with self.listening:
+                    async with listener:
+                        await listener.serve(self.serve_connection, group)
 
     def start(self, group: TaskGroup) -> CancelScope:
         """Begin to listen; cancelling the returned scope ends it."""
@@ -142,46 +267,19 @@
         group.start_soon(self.listen, scope)
         return scope
 
+    def stop_listening(self) -> None:
+        """Accept no further connections; those that are open go on."""
+        self.listening.cancel()
 
-async def send_request(
-    caller: HttpConnection, target: HttpConnection, request: h11.Request
-) -> None:
-    """Stream a caller's request to an upstream."""
-    await target.send(
-        h11.Request(
-            method=request.method, target=request.target, headers=request.headers
-        )
-    )
-    async for chunk in caller.body_chunks():
-        await target.send(h11.Data(data=chunk))
-    await target.send(h11.EndOfMessage())
-
-
-async def return_response(caller: HttpConnection, target: HttpConnection) -> None:
-    """Stream an upstream's answer to the caller.
+    def close_idle(self) -> None:
+        """End the connections without a request."""
+        self.closing_idle = True
+        for scope in list(self.idle_scopes):
+            scope.cancel()
 
-    :raises OutcomeUnknownError: the upstream closed without an answer.
-    """
-    event = await target.next_event()
-    if not isinstance(event, h11.Response):
-        raise OutcomeUnknownError(reason="upstream closed the connection")
-    await caller.send(
-        h11.Response(status_code=event.status_code, headers=event.headers)
-    )
-    async for chunk in target.body_chunks():
-        await caller.send(h11.Data(data=chunk))
-    await caller.send(h11.EndOfMessage())
-
-
-def failure_response(error: ChervilstageError) -> HttpResponse:
-    """Return the response that tells the caller the outcome of a failed request."""
-    if isinstance(error, RequestNotRunError):
-        response = error_response(503, error)
-        return _with_outcome(response, "not-run")
-    if isinstance(error, OutcomeUnknownError):
-        return _with_outcome(error_response(504, error), "unknown")
-    return _with_outcome(error_response(400, error), "not-run")
-
-
-def _with_outcome(response: HttpResponse, outcome: str) -> HttpResponse:
-    return response._replace(headers={**response.headers, OUTCOME_HEADER: outcome})
+    async def wait_quiet(self, feeds_too: bool) -> None:
+        """Wait until no request is left, or only feeds."""
+        while self.serving > (0 if feeds_too else self.requests.load.feeds):
+            self.quiet = anyio.Event()
+            with anyio.move_on_after(QUIET_POLL_SECONDS):
+                await self.quiet.wait()
--- /dev/null
+++ b/src/chervilstage/transport/request_body.py
@@ -0,0 +1,92 @@
+"""Reading the bodies of callers' requests within limits."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import anyio
+import h11
+
+from ..errors.requests import (
+    BodyTooLargeError,
+    CallerLeftError,
+    MalformedRequestError,
+    RequestNotRunError,
+)
+from .http_connection import HttpConnection, header_map
+
+# A body up to this size is received before a permit is taken, so that a slow caller
+# holds no slot, and can be sent again in a retry.
+REPLAY_BYTES = 64 * 1024
+# A relayed request and its record fit into one frame between entries.
+MAXIMUM_KEYED_BODY_BYTES = 4 * 1024 * 1024
+
+Body = tuple[bytes, AsyncIterator[bytes] | None]
+
+
+async def read_prefix(
+    caller: HttpConnection, request: h11.Request, limit: int, deadline: float
+) -> Body:
+    """Return the first part of a body, and the rest unless that was all.
+
+    :raises BodyTooLargeError: the body is longer than the limit, in bytes.
+    :raises RequestNotRunError: it did not come in time.
+    """
+    await _begin_body(caller, request, limit)
+    chunks = _limited(caller, limit)
+    prefix = bytearray()
+    try:
+        with anyio.fail_after(deadline - anyio.current_time()):
+            async for chunk in chunks:
+                prefix += chunk
+                if len(prefix) > REPLAY_BYTES:
+                    return bytes(prefix), chunks
+    except TimeoutError as error:
+        raise RequestNotRunError(reason="the body did not come in time") from error
+    return bytes(prefix), None
+
+
+async def read_whole(
+    caller: HttpConnection, request: h11.Request, limit: int, deadline: float
+) -> bytes:
+    """Return a whole body that goes into a request record.
+
+    :raises BodyTooLargeError: the body is longer than the limits.
+    :raises RequestNotRunError: it did not come in time.
+    """
+    limit = min(limit, MAXIMUM_KEYED_BODY_BYTES)
+    await _begin_body(caller, request, limit)
+    body = bytearray()
+    try:
+        with anyio.fail_after(deadline - anyio.current_time()):
+            async for chunk in _limited(caller, limit):
+                body += chunk
+    except TimeoutError as error:
+        raise RequestNotRunError(reason="the body did not come in time") from error
+    return bytes(body)
+
+
+async def _begin_body(caller: HttpConnection, request: h11.Request, limit: int) -> None:
+    if request.http_version != b"1.1":
+        # An older caller cannot tell a cut answer in chunks from a whole one.
+        raise MalformedRequestError(reason="HTTP/1.1 is needed")
+    length = header_map(request.headers).get("content-length", "0")
+    if int(length) > limit:
+        raise BodyTooLargeError(limit=limit)
+    if caller.codec.they_are_waiting_for_100_continue:
+        await caller.send(h11.InformationalResponse(status_code=100, headers=[]))
+
+
+async def _limited(caller: HttpConnection, limit: int) -> AsyncIterator[bytes]:
+    size = 0
+    while True:
+        try:
+            event = await caller.next_event()
+        except MalformedRequestError as error:
+            raise CallerLeftError(reason=error) from error
+        if not isinstance(event, h11.Data):
+            return
+        size += len(event.data)
+        if size > limit:
+            raise BodyTooLargeError(limit=limit)
+        yield bytes(event.data)
--- a/testing/support/request_fakes.py
+++ b/testing/support/request_fakes.py
@@ -60,7 +60,7 @@
         self.copying: dict[str, RequestRecord] = {}
         self.waiting: dict[str, list[Ask]] = defaultdict(list)
         self.heard: dict[EpochMember, float] = {}
-        self.fresh: dict[str, tuple[float, int]] = {}
+        self.fresh: dict[EpochMember, tuple[float, int]] = {}
         self.pushed: set[tuple[int, str]] = set()
 
 
@@ -136,7 +136,7 @@
             for b in awake:
                 if a is not b and not self.is_cut(a.state.own, b.state.own):
                     a.heard[b.state.own] = self.now
-                    a.fresh[b.state.own.name] = (self.now, b.state.reported())
+                    a.fresh[b.state.own] = (self.now, b.state.reported())
 
     def is_cut(self, a: EpochMember, b: EpochMember) -> bool:
         """Tell whether nothing passes between two entries."""
@@ -150,8 +150,7 @@
         wanted = agreement.next_members(state, live, live)
         if wanted and self.rng.random() < 0.5:
             self.apply(entry, agreement.propose(state, wanted, self.now_ms(), self.now))
-        names = {m.name for m in live}
-        reported = {n: epoch for n, (_, epoch) in entry.fresh.items() if n in names}
+        reported = {m.name: entry.fresh[m][1] for m in live if m in entry.fresh}
         self.apply(entry, agreement.catch_up(state, reported))
         number = state.current.number
         for member in state.current.members:
@@ -263,8 +262,8 @@
         """Run a copied request, or report it as not run."""
         del entry.copying[record.key.text]
         fresh = [
-            name
-            for name, (at, epoch) in entry.fresh.items()
+            member
+            for member, (at, epoch) in entry.fresh.items()
             if self.now - at < LEASE_SECONDS and epoch == entry.state.current.number
         ]
         expired = all(self.now >= a.expires for a in entry.waiting[record.key.text])
