--- a/src/chervilstage/coordination/view_rounds.py
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -29,9 +29,9 @@
         return False
     members = state.members
     live = members.live()
-    staying = [name for name in live if members.is_staying(name)] or live
-    with_view = [name for name in staying if _reported_view(state, name)]
-    return (with_view or staying)[0] == state.name
+    with_view = [name for name in live if _reported_view(state, name)] or live
+    staying = [name for name in with_view if members.is_staying(name)] or with_view
+    return staying[0] == state.name
 
 
 def _reported_view(state: FlowState, name: str) -> int:
@@ -73,6 +73,8 @@
     if not is_coordinator(state):
         state.round = None
         return []
+    if state.round is None and _is_behind(state):
+        state.differing_views = True
     weights = view_weights(state)
     urgent = must_move(weights, target_view(state)) or state.differing_views
     if state.round is None or (urgent and _is_superseded(state, weights)):
@@ -82,6 +84,16 @@
     return _go_on(state, now)
 
 
+def _is_behind(state: FlowState) -> bool:
+    """Tell whether other entries may have a view in force that is not this entry's.
+
+    Another coordinator prepared it and is gone, or made it while this entry was lost.
+    """
+    number = state.view.identity.number
+    newer = any(_reported_view(state, n) > number for n in state.members.live_names)
+    return newer or state.prepared is not None
+
+
 def target_view(state: FlowState) -> View:
     """Return the view that is in force or about to be."""
     return state.round.view if state.round else state.view
