End the process when its disk fails, and lock the data folder

Cause: a batch was flushed inside take() when it had grown, so a failed write could be caught in the handler of a request and answered as its refusal, and the replica would have gone on. Only run() flushes now, one bounded batch a turn.

Polls name the entry that asks and no longer its whole group, which at 247 entries a data centre would be about 10 KB every 2 s.

--- a/src/chervilstage/errors/configuration.py
+++ b/src/chervilstage/errors/configuration.py
@@ -125,3 +125,10 @@
     def __init__(self, *, status: int, remote_code: str, message: str) -> None:
         super().__init__(status=status, remote_code=remote_code, message=message)
         self.remote_code = remote_code
+
+
+class FolderInUseError(ChervilstageError):
+    """Another process uses the data folder."""
+
+    code = "CS-CONFIG-016"
+    template = "{folder}: another process uses this data folder"
--- a/src/chervilstage/protocol/control_messages.py
+++ b/src/chervilstage/protocol/control_messages.py
@@ -13,7 +13,7 @@
     """A query for a configuration newer than a revision.
 
     The addressee may hold the answer back for ``wait_seconds`` until there is one.
-    ``group`` names the entry that asks, first, and its peers.
+    ``group`` names the entry that asks.
     """
 
     revision: int
--- a/src/chervilstage/transport/configuration_client.py
+++ b/src/chervilstage/transport/configuration_client.py
@@ -85,7 +85,7 @@
         query = ConfigurationQuery(
             revision=self.in_force.current.revision,
             wait_seconds=wait_seconds,
-            group=self.group,
+            group=self.group[:1],
         )
         body = await self.frames.call(
             peer.address, Kind.CONFIGURATION_FETCH, encode_query(query), timeout
--- a/src/chervilstage/transport/log_store.py
+++ b/src/chervilstage/transport/log_store.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import time
 from collections.abc import Callable, Sequence
@@ -15,7 +16,7 @@
 from pathlib import Path
 from typing import BinaryIO
 
-from ..errors.configuration import LogDamagedError
+from ..errors.configuration import FolderInUseError, LogDamagedError
 from ..protocol.log_files import (
     Meta,
     encode_log_entry,
@@ -58,7 +59,12 @@
         self.ends: list[int] = []
         self.has_new_files = False
         folder.mkdir(parents=True, exist_ok=True)
-        self.stored = self._load() if self._is_used() else self._create(identity)
+        self.lock = self._lock_folder()
+        try:
+            self.stored = self._load() if self._is_used() else self._create(identity)
+        except BaseException:
+            os.close(self.lock)
+            raise
 
     def save_vote(self, vote: Vote) -> None:
         """Note a vote; it is durable after ``sync``."""
@@ -100,8 +106,19 @@
         self.observe(time.perf_counter() - started)
 
     def close(self) -> None:
-        """Close the log file."""
+        """Close the log file and unlock the folder."""
         self.file.close()
+        os.close(self.lock)
+
+    def _lock_folder(self) -> int:
+        """Lock the folder, since two processes of one identity could vote twice."""
+        descriptor = os.open(self.folder, os.O_RDONLY)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            os.close(descriptor)
+            raise FolderInUseError(folder=self.folder) from error
+        return descriptor
 
     def _is_used(self) -> bool:
         if (self.folder / META).exists():
--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -7,6 +7,7 @@
 from random import Random
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskGroup
 
 from ..coordination.configuration import check_resend
@@ -81,28 +82,29 @@
             frames.serve(kind, self.receive)
 
     def take(self, effects: Sequence[ReplicaEffect]) -> None:
-        """Carry out effects at the end of this turn, or now if there are many."""
+        """Carry out effects at the end of this turn of the loop."""
         self.pending.extend(effects)
-        if len(self.pending) >= BATCH_EFFECTS:
-            self.flush()
         self.wake.set()
 
     def flush(self) -> None:
-        """Make durable what has to be, then send and reply.
+        """Make durable what has to be in a bounded batch, then send and reply.
+
+        Only ``run`` calls this, so that a disk that fails ends the process and is not
+        reported as the failure of one request.
 
         :raises LogWriteError: the disk has failed; nothing is acknowledged any more.
         """
-        while self.pending:
-            batch, self.pending = self.pending, []
-            if self.save(batch):
-                last = self.replica.log.last_index
-                now = replica_clock()
-                self.pending += persisted(self.replica, last, now, self.rng)
-            for effect in batch:
-                if isinstance(effect, Send):
-                    self.send(effect)
-                elif isinstance(effect, Reply):
-                    self.reply(effect.outcome)
+        batch = self.pending[:BATCH_EFFECTS]
+        del self.pending[:BATCH_EFFECTS]
+        if self.save(batch) and not self.pending:
+            last = self.replica.log.last_index
+            now = replica_clock()
+            self.pending += persisted(self.replica, last, now, self.rng)
+        for effect in batch:
+            if isinstance(effect, Send):
+                self.send(effect)
+            elif isinstance(effect, Reply):
+                self.reply(effect.outcome)
         self.show()
 
     def save(self, batch: Sequence[ReplicaEffect]) -> bool:
@@ -190,6 +192,9 @@
             self.pending += tick(self.replica, now, self.rng)
             self.pending += promote_learner(self.replica, now, time.time())
             self.flush()
+            if self.pending:
+                await anyio.lowlevel.checkpoint()
+                continue
             with anyio.move_on_after(max(0.0, next_timer(self.replica) - now)):
                 await self.wake.wait()
             self.wake = anyio.Event()
--- a/testing/transport/test_log_store.py
+++ b/testing/transport/test_log_store.py
@@ -6,13 +6,14 @@
 import shutil
 import tempfile
 from collections.abc import Callable
+from contextlib import closing
 from pathlib import Path
 
 from hypothesis import given, strategies as st
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
-from chervilstage.errors.configuration import LogDamagedError
+from chervilstage.errors.configuration import FolderInUseError, LogDamagedError
 from chervilstage.state.configuration import (
     Change,
     Configuration,
@@ -139,7 +140,8 @@
         try:
             store = LogStore(folder=folder, identity=IDENTITY, sync_file=synced.sync)
             states.append(store.stored)
-            save_all(store, states.append)
+            with closing(store):
+                save_all(store, states.append)
         except CrashError:
             pass
         synced.lose(folder, kept_bytes)
@@ -189,7 +191,15 @@
             next(folder.glob(pattern)).unlink()
             self.assertRaises(LogDamagedError, LogStore, folder=folder, identity=1)
 
+    def test_folder_has_one_process(self) -> None:
+        folder = self.folder()
+        store = LogStore(folder=folder, identity=1)
+        self.assertRaises(FolderInUseError, LogStore, folder=folder, identity=1)
+        store.close()
+        self.assertThat(opened(folder).identity, Equals(1))
+
     def test_sync_reports_its_stall(self) -> None:
         stalls: list[float] = []
-        LogStore(folder=self.folder(), identity=1, observe=stalls.append).sync()
+        store = LogStore(folder=self.folder(), identity=1, observe=stalls.append)
+        store.sync()
         self.assertThat(len(stalls), Equals(2))
--- /dev/null
+++ b/testing/transport/test_replica_driver.py
@@ -0,0 +1,108 @@
+"""A disk that fails ends the process, and nothing is acknowledged."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import anyio
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from chervilstage.coordination.replica_members import form
+from chervilstage.errors.configuration import LogWriteError
+from chervilstage.state.counters import Counters
+from chervilstage.state.replica import Role
+from chervilstage.state.replica_messages import Hello
+from chervilstage.state.types import Address
+from chervilstage.transport.frame_channel import FrameClient, FrameServer
+from chervilstage.transport.log_store import LogStore
+from chervilstage.transport.replica_driver import ReplicaDriver
+from chervilstage.transport.replica_links import ReplicaLinks
+from testing.support.replica_faults import change_of
+
+ADDRESS = Address(host="127.0.0.1", port=1)
+KEY = b"k" * 32
+TASKS = 100
+
+
+class FailingDisk:
+    """Syncs until it is told to fail."""
+
+    def __init__(self) -> None:
+        self.fails = False
+
+    def sync(self, descriptor: int) -> None:
+        """Sync, or fail as a full disk does."""
+        if self.fails:
+            raise OSError("no space left on device")
+
+
+def driver_on(disk: FailingDisk, folder: Path) -> ReplicaDriver:
+    """Return a single replica that is ready to lead."""
+    counters = Counters()
+    client = FrameClient(name="control-1", key=KEY, counters=counters)
+    frames = FrameServer(name="control-1", address=ADDRESS, key=KEY, counters=counters)
+    store = LogStore(folder=folder, identity=5, sync_file=disk.sync)
+    driver = ReplicaDriver(
+        address=ADDRESS, store=store, links=ReplicaLinks(frames=client), frames=frames
+    )
+    hello = Hello(
+        name="control-1",
+        identity=5,
+        data_centre="gl-erie",
+        address=ADDRESS,
+        formed=False,
+    )
+    driver.take(form(driver.replica, [hello]))
+    return driver
+
+
+async def until_ready(driver: ReplicaDriver) -> None:
+    """Wait until a single replica leads and has nothing left to do."""
+    for _ in range(1000):
+        if driver.replica.role is Role.LEADER and not driver.pending:
+            return
+        await anyio.sleep(0.01)
+
+
+class ReplicaDriverTests(TestCase):
+    """Guards against a replica that goes on after a failed write."""
+
+    def test_failed_disk_ends_the_process_before_a_change_is_acknowledged(self) -> None:
+        disk, answers = FailingDisk(), []
+
+        async def main() -> None:
+            driver = driver_on(disk, Path(tempfile.mkdtemp()) / "data")
+
+            async def submit() -> None:
+                await until_ready(driver)
+                disk.fails = True
+                answers.append(await driver.submit(change_of("lost", 0)))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(driver.run)
+                group.start_soon(submit)
+
+        error = self.assertRaises(BaseExceptionGroup, anyio.run, main)
+        self.assertThat(type(error.exceptions[0]), Equals(LogWriteError))
+        self.assertThat(answers, Equals([]))
+
+    def test_changes_of_one_turn_share_syncs_in_bounded_batches(self) -> None:
+        syncs: list[float] = []
+
+        async def main() -> None:
+            driver = driver_on(FailingDisk(), Path(tempfile.mkdtemp()) / "data")
+            async with anyio.create_task_group() as group:
+                group.start_soon(driver.run)
+                await until_ready(driver)
+                driver.store.observe = syncs.append
+                async with anyio.create_task_group() as changes:
+                    for number in range(TASKS):
+                        change = change_of(f"change-{number}", 0)
+                        changes.start_soon(driver.submit, change)
+                group.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertThat(len(syncs) < TASKS / 10, Equals(True))
+        self.assertThat(len(syncs) > 1, Equals(True))
