Hand the lead over on a planned stop of a control replica

Cause: a restart of the leader kept changes from being accepted for 1 to 2 s, and cut the calls of operators that were under way.

On a planned stop the leader waits for the changes under way, gives up its lease and asks the voter that holds most of the log to stand at once; voters do not wait for the lease of a leader that has given it up. Ruled out: standing by a trial vote, which the others refuse while they count the leader as alive.

--- a/src/chervilstage/coordination/election.py
+++ b/src/chervilstage/coordination/election.py
@@ -5,7 +5,12 @@
 from random import Random
 
 from ..state.replica import Progress, Replica, Role, Vote
-from ..state.replica_messages import ReplicaMessage, VoteReply, VoteRequest
+from ..state.replica_messages import (
+    HandOver,
+    ReplicaMessage,
+    VoteReply,
+    VoteRequest,
+)
 from .replica_effects import ReplicaEffect, SaveVote, Send
 from .replica_terms import (
     follow,
@@ -38,7 +43,8 @@
     rng: Random,
 ) -> list[ReplicaEffect]:
     """Grant or refuse a vote."""
-    if has_leader(replica, now) or not _is_up_to_date(replica, request):
+    is_led = has_leader(replica, now) and not request.handed_over
+    if is_led or not _is_up_to_date(replica, request):
         return [_answer(replica, message, request, False)]
     if request.trial:
         granted = request.term > replica.term
@@ -77,6 +83,34 @@
     return _stand(replica, now, rng) if reply.trial else _lead(replica, now)
 
 
+def hand_over(replica: Replica, now: float, rng: Random) -> list[ReplicaEffect]:
+    """Give up the lead and the lease, and ask another voter to take it at once."""
+    if replica.role is not Role.LEADER:
+        return []
+    voters = [
+        (replica.progress[m.identity].matched, m)
+        for m in replica.members.members
+        if m.voter and m.identity in replica.progress
+        if m.identity != replica.identity
+    ]
+    effects = follow(replica, replica.term, 0, now, rng)
+    if voters:
+        _, best = max(voters)
+        body = HandOver(term=replica.term)
+        effects.append(Send(address=best.address, to=best.identity, body=body))
+    return effects
+
+
+def receive_hand_over(
+    replica: Replica, message: ReplicaMessage, body: HandOver, now: float, rng: Random
+) -> list[ReplicaEffect]:
+    """Take the lead from the leader of this term."""
+    is_current = body.term == replica.term and message.sender == replica.leader
+    if not is_current or not replica.is_voter() or replica.role is Role.LEADER:
+        return []
+    return _stand(replica, now, rng, handed_over=True)
+
+
 def _seek_trial_votes(replica: Replica, now: float, rng: Random) -> list[ReplicaEffect]:
     replica.role = Role.PRE_CANDIDATE
     replica.leader = 0
@@ -86,15 +120,18 @@
     return _ask(replica, replica.term + 1, True)
 
 
-def _stand(replica: Replica, now: float, rng: Random) -> list[ReplicaEffect]:
+def _stand(
+    replica: Replica, now: float, rng: Random, handed_over: bool = False
+) -> list[ReplicaEffect]:
     replica.role = Role.CANDIDATE
+    replica.leader = 0
     replica.vote = Vote(term=replica.term + 1, candidate=replica.identity)
     replica.votes = {replica.identity}
     postpone_election(replica, now, rng)
     save = SaveVote(vote=replica.vote)
     if replica.has_quorum(replica.votes):
         return [save, *_lead(replica, now)]
-    return [save, *_ask(replica, replica.term, False)]
+    return [save, *_ask(replica, replica.term, False, handed_over)]
 
 
 def _lead(replica: Replica, now: float) -> list[ReplicaEffect]:
@@ -108,12 +145,15 @@
     return [append_command(replica, None), *broadcast(replica, now)]
 
 
-def _ask(replica: Replica, term: int, trial: bool) -> list[ReplicaEffect]:
+def _ask(
+    replica: Replica, term: int, trial: bool, handed_over: bool = False
+) -> list[ReplicaEffect]:
     request = VoteRequest(
         term=term,
         last_index=replica.log.last_index,
         last_term=replica.log.last_term,
         trial=trial,
+        handed_over=handed_over,
     )
     return [
         Send(address=member.address, to=member.identity, body=request)
--- a/src/chervilstage/coordination/replica.py
+++ b/src/chervilstage/coordination/replica.py
@@ -11,13 +11,14 @@
 from ..state.replica_messages import (
     Append,
     AppendReply,
+    HandOver,
     InstallSnapshot,
     ReplicaMessage,
     VoteReply,
     VoteRequest,
 )
 from .configuration import check_resend
-from .election import receive_vote_reply, receive_vote_request
+from .election import receive_hand_over, receive_vote_reply, receive_vote_request
 from .replica_effects import ReplicaEffect
 from .replica_terms import (
     ELECTION_SECONDS,
@@ -77,6 +78,8 @@
         return receive_append(replica, message, body, now, rng)
     if isinstance(body, AppendReply):
         return receive_append_reply(replica, message, body, now, rng)
+    if isinstance(body, HandOver):
+        return receive_hand_over(replica, message, body, now, rng)
     assert isinstance(body, InstallSnapshot)
     return receive_snapshot(replica, message, body, now, rng)
 
--- a/src/chervilstage/protocol/consensus_messages.py
+++ b/src/chervilstage/protocol/consensus_messages.py
@@ -8,6 +8,7 @@
     Append,
     AppendReply,
     Body,
+    HandOver,
     Hello,
     InstallSnapshot,
     ReplicaMessage,
@@ -22,7 +23,7 @@
 
 def kind_of(body: Body) -> Kind:
     """Return the kind of frame that carries a body."""
-    if isinstance(body, VoteRequest | VoteReply):
+    if isinstance(body, VoteRequest | VoteReply | HandOver):
         return Kind.VOTE
     return Kind.SNAPSHOT if isinstance(body, InstallSnapshot) else Kind.APPEND
 
@@ -93,7 +94,10 @@
             "lastIndex": body.last_index,
             "lastTerm": body.last_term,
             "trial": body.trial,
+            "handedOver": body.handed_over,
         }
+    if isinstance(body, HandOver):
+        return "handOver", body._asdict()
     if isinstance(body, VoteReply):
         return "voteReply", body._asdict()
     if isinstance(body, AppendReply):
@@ -128,7 +132,10 @@
             last_index=body.lastIndex,
             last_term=body.lastTerm,
             trial=body.trial,
+            handed_over=body.handedOver,
         )
+    if kind == "handOver":
+        return HandOver(term=body.term)
     if kind == "voteReply":
         return VoteReply(term=body.term, granted=body.granted, trial=body.trial)
     if kind == "appendReply":
--- a/src/chervilstage/protocol/schema/consensus.capnp
+++ b/src/chervilstage/protocol/schema/consensus.capnp
@@ -53,6 +53,11 @@
   lastIndex @1 :UInt64;
   lastTerm @2 :UInt64;
   trial @3 :Bool;
+  handedOver @4 :Bool;
+}
+
+struct HandOver {
+  term @0 :UInt64;
 }
 
 struct VoteReply {
@@ -94,6 +99,7 @@
     append @6 :Append;
     appendReply @7 :AppendReply;
     installSnapshot @8 :InstallSnapshot;
+    handOver @9 :HandOver;
   }
 }
 
--- a/src/chervilstage/state/replica_messages.py
+++ b/src/chervilstage/state/replica_messages.py
@@ -9,12 +9,16 @@
 
 
 class VoteRequest(NamedTuple):
-    """A request for a vote; a trial one changes nothing at the receiver."""
+    """A request for a vote; a trial one changes nothing at the receiver.
+
+    ``handed_over`` tells that the leader has given up its lease for the sender.
+    """
 
     term: int
     last_index: int
     last_term: int
     trial: bool
+    handed_over: bool = False
 
 
 class VoteReply(NamedTuple):
@@ -57,7 +61,13 @@
     sent_at: float
 
 
-Body = VoteRequest | VoteReply | Append | InstallSnapshot | AppendReply
+class HandOver(NamedTuple):
+    """A leader that stops asks the receiver to take the lead at once."""
+
+    term: int
+
+
+Body = VoteRequest | VoteReply | Append | InstallSnapshot | AppendReply | HandOver
 
 
 class ReplicaMessage(NamedTuple):
--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 
 from ..coordination.configuration import check_resend
-from ..coordination.election import tick
+from ..coordination.election import hand_over, tick
 from ..coordination.replica import (
     next_timer,
     persisted,
@@ -32,6 +32,7 @@
 from ..protocol.consensus_messages import decode_replica_message
 from ..protocol.kinds import Kind
 from ..state.configuration import Change, ChangeOutcome
+from ..state.replica import Role
 from ..state.replica_messages import ReplicaMessage
 from ..state.types import Address
 from .application import Hooks
@@ -41,6 +42,7 @@
 from .replica_links import ReplicaLinks
 
 CHANGE_SECONDS = 5.0
+HAND_OVER_SECONDS = 1.0
 BATCH_EFFECTS = 64
 
 
@@ -76,6 +78,7 @@
         self.pending: list[ReplicaEffect] = []
         self.wake = anyio.Event()
         self.revision_changed = anyio.Event()
+        self.leader_heard = anyio.Event()
         self.waiting: dict[str, anyio.Event] = {}
         self.shown = (self.replica.role, self.replica.term)
         for kind in (Kind.VOTE, Kind.APPEND, Kind.SNAPSHOT):
@@ -147,7 +150,9 @@
         self.revision_changed = anyio.Event()
 
     def show(self) -> None:
-        """Log a change of the role."""
+        """Log a change of the role, and tell who waits that there is a leader."""
+        if self.replica.leader:
+            self.leader_heard.set()
         shown = (self.replica.role, self.replica.term)
         if shown != self.shown:
             self.shown = shown
@@ -210,6 +215,19 @@
         )
         group.start_soon(self.run)
 
+    async def drain(self) -> None:
+        """Let changes under way finish, then hand the lead over to another replica."""
+        with anyio.move_on_after(CHANGE_SECONDS):
+            for event in list(self.waiting.values()):
+                await event.wait()
+        if self.replica.role is not Role.LEADER:
+            return
+        self.leader_heard = anyio.Event()
+        self.take(hand_over(self.replica, replica_clock(), self.rng))
+        if len(self.replica.members.voters()) > 1:
+            with anyio.move_on_after(HAND_OVER_SECONDS):
+                await self.leader_heard.wait()
+
     def hooks(self) -> Hooks:
         """Return the life-cycle hooks."""
-        return Hooks(name="replica", start=self.start)
+        return Hooks(name="replica", start=self.start, drain=self.drain)
--- a/testing/programs/test_control.py
+++ b/testing/programs/test_control.py
@@ -102,6 +102,17 @@
     wait_revision(cell, 3)
 
 
+def test_leader_that_is_stopped_hands_over(cell: Cell) -> None:
+    """Guards against a planned stop that waits for an election."""
+    leader = cell.wait_leader()
+    stopped = control_of(cell, leader)
+    stopped.process.send_signal(signal.SIGTERM)
+    assert stopped.process.wait(30) == 0
+    assert not stopped.lines("drain_incomplete")
+    later = cell.wait_leader(other_than=leader)
+    assert submit(cell, "after-the-stop", [], number=later)["code"] == ""
+
+
 def test_frozen_leader_resumes_as_a_follower(cell: Cell) -> None:
     """Guards against stale reads of a leader that was frozen for long."""
     leader = cell.wait_leader()
--- a/testing/protocol/test_consensus_messages.py
+++ b/testing/protocol/test_consensus_messages.py
@@ -16,6 +16,7 @@
     Append,
     AppendReply,
     Body,
+    HandOver,
     InstallSnapshot,
     ReplicaMessage,
     VoteReply,
@@ -55,6 +56,8 @@
 )
 BODIES: list[Body] = [
     VoteRequest(term=4, last_index=9, last_term=3, trial=True),
+    VoteRequest(term=4, last_index=9, last_term=3, trial=False, handed_over=True),
+    HandOver(term=4),
     VoteReply(term=4, granted=True, trial=False),
     Append(
         term=4,
--- a/testing/support/replica_faults.py
+++ b/testing/support/replica_faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
+from chervilstage.coordination.election import hand_over
 from chervilstage.state.configuration import Change, DataCentre, Inventory
 from chervilstage.state.replica import Replica
 
@@ -81,6 +82,7 @@
             (3, self.freeze),
             (12, self.resume),
             (3, self.weather),
+            (5, self.hand_over),
         ]
         weights = [weight for weight, _ in actions]
         self.rng.choices([a for _, a in actions], weights)[0]()
@@ -125,14 +127,11 @@
 
     def isolate(self) -> None:
         """Put a replica behind a silent cut."""
-        node = self.node()
-        for name in self.cell.nodes:
-            if name != node.name:
-                self.cell.network.cut(node.name, name)
+        self.cell.isolate(self.node())
 
     def cut(self) -> None:
         """Cut two replicas off from each other."""
-        self.cell.network.cut(self.node().name, self.node().name)
+        self.cell.cut(self.node().name, self.node().name)
 
     def heal(self) -> None:
         """End all cuts."""
@@ -151,6 +150,14 @@
         self.cell.network.loss = self.rng.choice([0.0, 0.0, 0.2])
         self.cell.network.delay = self.rng.choice([0.02, 0.02, 0.02, 0.3, 1.0])
 
+    def hand_over(self) -> None:
+        """Let the leader hand over, as it does on a planned stop."""
+        leader = self.cell.leader()
+        if leader is not None and leader.replica is not None:
+            now = leader.clock(self.cell.now)
+            leader.pending += hand_over(leader.replica, now, self.rng)
+            self.cell.flush(leader)
+
     def lost(self) -> list[str]:
         """End all faults and return acknowledged changes that are not there."""
         leader = self.cell.settle()
