--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -7,10 +7,11 @@
 from random import Random
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskGroup
 
 from ..coordination.configuration import check_resend
-from ..coordination.election import tick
+from ..coordination.election import hand_over, tick
 from ..coordination.replica import (
     next_timer,
     persisted,
@@ -31,6 +32,7 @@
 from ..protocol.consensus_messages import decode_replica_message
 from ..protocol.kinds import Kind
 from ..state.configuration import Change, ChangeOutcome
+from ..state.replica import Role
 from ..state.replica_messages import ReplicaMessage
 from ..state.types import Address
 from .application import Hooks
@@ -40,6 +42,7 @@
 from .replica_links import ReplicaLinks
 
 CHANGE_SECONDS = 5.0
+HAND_OVER_SECONDS = 1.0
 BATCH_EFFECTS = 64
 
 
@@ -75,34 +78,36 @@
         self.pending: list[ReplicaEffect] = []
         self.wake = anyio.Event()
         self.revision_changed = anyio.Event()
+        self.leader_heard = anyio.Event()
         self.waiting: dict[str, anyio.Event] = {}
         self.shown = (self.replica.role, self.replica.term)
         for kind in (Kind.VOTE, Kind.APPEND, Kind.SNAPSHOT):
             frames.serve(kind, self.receive)
 
     def take(self, effects: Sequence[ReplicaEffect]) -> None:
-        """Carry out effects at the end of this turn, or now if there are many."""
+        """Carry out effects at the end of this turn of the loop."""
         self.pending.extend(effects)
-        if len(self.pending) >= BATCH_EFFECTS:
-            self.flush()
         self.wake.set()
 
     def flush(self) -> None:
-        """Make durable what has to be, then send and reply.
+        """Make durable what has to be in a bounded batch, then send and reply.
+
+        Only ``run`` calls this, so that a disk that fails ends the process and is not
+        reported as the failure of one request.
 
         :raises LogWriteError: the disk has failed; nothing is acknowledged any more.
         """
-        while self.pending:
-            batch, self.pending = self.pending, []
-            if self.save(batch):
-                last = self.replica.log.last_index
-                now = replica_clock()
-                self.pending += persisted(self.replica, last, now, self.rng)
-            for effect in batch:
-                if isinstance(effect, Send):
-                    self.send(effect)
-                elif isinstance(effect, Reply):
-                    self.reply(effect.outcome)
+        batch = self.pending[:BATCH_EFFECTS]
+        del self.pending[:BATCH_EFFECTS]
+        if self.save(batch) and not self.pending:
+            last = self.replica.log.last_index
+            now = replica_clock()
+            self.pending += persisted(self.replica, last, now, self.rng)
+        for effect in batch:
+            if isinstance(effect, Send):
+                self.send(effect)
+            elif isinstance(effect, Reply):
+                self.reply(effect.outcome)
         self.show()
 
     def save(self, batch: Sequence[ReplicaEffect]) -> bool:
@@ -145,7 +150,9 @@
         self.revision_changed = anyio.Event()
 
     def show(self) -> None:
-        """Log a change of the role."""
+        """Log a change of the role, and tell who waits that there is a leader."""
+        if self.replica.leader:
+            self.leader_heard.set()
         shown = (self.replica.role, self.replica.term)
         if shown != self.shown:
             self.shown = shown
@@ -190,6 +197,9 @@
             self.pending += tick(self.replica, now, self.rng)
             self.pending += promote_learner(self.replica, now, time.time())
             self.flush()
+            if self.pending:
+                await anyio.lowlevel.checkpoint()
+                continue
             with anyio.move_on_after(max(0.0, next_timer(self.replica) - now)):
                 await self.wake.wait()
             self.wake = anyio.Event()
@@ -205,6 +215,19 @@
         )
         group.start_soon(self.run)
 
+    async def drain(self) -> None:
+        """Let changes under way finish, then hand the lead over to another replica."""
+        with anyio.move_on_after(CHANGE_SECONDS):
+            for event in list(self.waiting.values()):
+                await event.wait()
+        if self.replica.role is not Role.LEADER:
+            return
+        self.leader_heard = anyio.Event()
+        self.take(hand_over(self.replica, replica_clock(), self.rng))
+        if len(self.replica.members.voters()) > 1:
+            with anyio.move_on_after(HAND_OVER_SECONDS):
+                await self.leader_heard.wait()
+
     def hooks(self) -> Hooks:
         """Return the life-cycle hooks."""
-        return Hooks(name="replica", start=self.start)
+        return Hooks(name="replica", start=self.start, drain=self.drain)
