Count cold requests and idle upstreams in the verdict of a load run

Cause: promise 3 was shown as held where no stand-in was cold, and the imbalance left out upstreams that got nothing, so a view that reached one of seven upstreams looked balanced.

Now promise 3 counts as tested only by requests that came to a cold stand-in, and the mean is taken over all stand-ins that report.

--- a/src/chervilstage/coordination/load_summary.py
+++ b/src/chervilstage/coordination/load_summary.py
@@ -35,7 +35,7 @@
         promises=tuple(judge(plan, results, reports, marks)),
         requests=tuple(_request_summaries(results.requests)),
         latencies=tuple(_latency(*item) for item in sorted(results.latencies.items())),
-        imbalances=tuple(_imbalances(results)),
+        imbalances=tuple(_imbalances(results, reports)),
         counts=_counts(results, reports),
         broken_flows={cause.value: count for cause, count in causes.items()},
         findings=tuple(f"{f.fault.value}: {f.detail}" for f in results.findings),
@@ -75,7 +75,15 @@
     )
 
 
-def _imbalances(results: LoadResults) -> Iterable[Imbalance]:
+def _imbalances(
+    results: LoadResults, reports: Sequence[StandinReport]
+) -> Iterable[Imbalance]:
+    """Compare the busiest upstream with the mean of all that are known.
+
+    A stand-in without work counts too, else an upstream that gets nothing would make
+    the balance look better.
+    """
+    known = {(r.upstream.service, r.upstream.address) for r in reports}
     held: Counter[tuple[str, str]] = Counter(
         (flow.service, flow.upstream.address)
         for flow in results.flows.values()
@@ -83,7 +91,10 @@
     )
     for what, by_upstream in (("flows", held), ("requests", results.answered_by)):
         for service in sorted({service for service, _ in by_upstream}):
-            shares = [n for (name, _), n in by_upstream.items() if name == service]
+            all_known = sorted(
+                item for item in known | by_upstream.keys() if item[0] == service
+            )
+            shares = [by_upstream[item] for item in all_known]
             yield Imbalance(
                 service=service,
                 what=what,
--- a/src/chervilstage/coordination/load_verdict.py
+++ b/src/chervilstage/coordination/load_verdict.py
@@ -117,7 +117,7 @@
     return Promise(
         name="3 cold upstreams are not overloaded",
         violations=sum(r.counts.over_capacity_cold for r in reports),
-        checked=sum(r.counts.requests for r in reports),
+        checked=sum(r.counts.requests_cold for r in reports),
     )
 
 
--- a/src/chervilstage/coordination/standin.py
+++ b/src/chervilstage/coordination/standin.py
@@ -58,7 +58,7 @@
 
     :param service: the service of this stand-in.
     """
-    state.count(requests=1)
+    state.count(requests=1, requests_cold=int(is_cold(state)))
     state.last_request_at = now
     if arrival.service not in ("", service):
         state.count(foreign_requests=1)
--- a/src/chervilstage/state/load_report.py
+++ b/src/chervilstage/state/load_report.py
@@ -48,7 +48,7 @@
 
 
 class Imbalance(NamedTuple):
-    """The busiest upstream of a service over the mean."""
+    """The busiest upstream of a service over the mean of all its stand-ins."""
 
     service: str
     what: str
--- a/src/chervilstage/state/standin.py
+++ b/src/chervilstage/state/standin.py
@@ -52,8 +52,9 @@
 class StandinCounts(NamedTuple):
     """The counts of a stand-in.
 
-    ``over_capacity_cold`` counts requests over the present capacity while it was below
-    the number of slots; ``over_capacity_warm`` counts those over the slots.
+    ``requests_cold`` counts requests that came while the capacity was below the number
+    of slots, and ``over_capacity_cold`` those of them that were over the capacity;
+    ``over_capacity_warm`` counts those over the slots.
     """
 
     requests: int = 0
@@ -62,6 +63,7 @@
     shed: int = 0
     expired: int = 0
     cancelled: int = 0
+    requests_cold: int = 0
     over_capacity_cold: int = 0
     over_capacity_warm: int = 0
     uploads_cut: int = 0
--- a/testing/coordination/test_load_verdict.py
+++ b/testing/coordination/test_load_verdict.py
@@ -40,7 +40,7 @@
 )
 REPORT = StandinReport(
     upstream=UPSTREAM,
-    counts=StandinCounts(requests=2, started=2, packets=5),
+    counts=StandinCounts(requests=2, requests_cold=1, started=2, packets=5),
     slots=4,
     most_in_flight=1,
     leaving_at=50.0,
@@ -152,6 +152,14 @@
             report = make_report(PLAN, *run, started_at=1.0)
             self.assertThat(promises_held(report), Equals(False))
 
+    def test_upstream_without_work_counts_in_the_imbalance(self) -> None:
+        run = clean_run()
+        add_report(run, upstream=MOVED)
+        run.results.answered_by[(UPSTREAM.service, UPSTREAM.address)] = 9
+        report = make_report(PLAN, *run, started_at=1.0)
+        ratios = [(i.what, i.upstreams, i.ratio) for i in report.imbalances]
+        self.assertThat(ratios, Equals([("requests", 2, 2.0)]))
+
     def test_every_promise_has_a_planted_violation(self) -> None:
         names = {p.name[0] for p in judge(PLAN, *clean_run())}
         self.assertThat({number for number, _ in VIOLATIONS}, Equals(names))
--- a/testing/coordination/test_standin.py
+++ b/testing/coordination/test_standin.py
@@ -85,6 +85,7 @@
             widths.append(state.capacity)
         self.assertThat(widths, Equals([1, 1, 1, 2, 2, 4, 4]))
         self.assertThat(is_cold(state), Is(False))
+        self.assertThat(state.counts.requests_cold, Equals(6))
 
     def test_shedding_refuses_before_anything_runs(self) -> None:
         state = StandinState(slots=4)
