--- a/src/chervilstage/protocol/kinds.py
+++ b/src/chervilstage/protocol/kinds.py
@@ -19,6 +19,8 @@
     PIN_LIST = 25
     PIN_LIST_REQUEST = 26
     PIN_TOLD = 27
+    PIN_HELD_REQUEST = 28
+    PIN_HELD = 29
 
     UPSTREAM_RECORDS = 40
     UPSTREAM_DIGEST = 41
@@ -28,8 +30,9 @@
     UPSTREAM_FETCH = 45
 
     RECORD_COPY = 60
-    RECORD_FETCH = 61
+    RECORD_PUSH = 61
     REQUEST_RELAY = 62
+    EPOCH = 63
 
     VOTE = 80
     APPEND = 81
