--- a/src/chervilstage/coordination/record_ownership.py
+++ b/src/chervilstage/coordination/record_ownership.py
@@ -49,7 +49,13 @@
     second: EpochMember | None
 
 
-Begin = Finish | Relay | Join | CopyFirst
+class Wait(NamedTuple):
+    """Ask again soon; the outcome is that of a caller who cannot wait."""
+
+    outcome: Outcome
+
+
+Begin = Finish | Relay | Join | CopyFirst | Wait
 
 
 class RecordCopy(NamedTuple):
@@ -142,9 +148,9 @@
         return Finish(outcome=Unknown(reason="an earlier attempt lost its answer"))
     refused = _refuse_unproved(state, key, record, attempt)
     if refused:
-        return Finish(outcome=refused)
+        return refused
     if not _may_run(state, key, found, now):
-        return Finish(outcome=unsent(attempt, "the other holder is not known"))
+        return Wait(outcome=unsent(attempt, "the other holder is not known"))
     return CopyFirst(
         record=_next(state, table, key, digest, RecordPhase.SENT), second=found.second
     )
@@ -256,17 +262,17 @@
 
 def _refuse_unproved(
     state: EpochState, key: RequestKey, record: RequestRecord | None, attempt: int
-) -> Outcome | None:
-    """Return the outcome of a key that other holders may have tried."""
+) -> Finish | Wait | None:
+    """Return what to do with a key that other holders may have tried."""
     epoch = state.current
     if record and record.epoch == epoch.number:
         return None
     if key.stamp_ms < epoch.floor(key.home):
-        return unsent(attempt, "the record of the key may be lost")
+        return Finish(outcome=unsent(attempt, "the record of the key may be lost"))
     made_since = key.stamp_ms >= epoch.formed_floor_ms
     if state.is_settled() or (made_since and key.home not in epoch.joined):
         return None
-    return unsent(attempt, "records are being copied")
+    return Wait(outcome=unsent(attempt, "records are being copied"))
 
 
 def _may_run(
--- a/src/chervilstage/transport/http_front.py
+++ b/src/chervilstage/transport/http_front.py
@@ -35,7 +35,7 @@
 from .http_connection import HttpConnection, HttpResponse, header_map
 from .http_server import send_response
 from .outcome_responses import failure_response, outcome_response
-from .request_body import read_prefix, read_whole
+from .request_body import check_head, read_prefix, read_whole
 from .service_requests import ServiceRequests
 from .upstream_exchange import CLOSED, Exchange, OutgoingRequest
 
@@ -158,6 +158,7 @@
 
         :raises ChervilstageError: the request is refused, or its answer was cut.
         """
+        check_head(request)
         headers = header_map(request.headers)
         method = request.method.decode("ascii")
         target = request.target.decode("ascii")
--- a/src/chervilstage/transport/keyed_requests.py
+++ b/src/chervilstage/transport/keyed_requests.py
@@ -18,6 +18,7 @@
     RecordCopy,
     RecordPush,
     Relay,
+    Wait,
     begin_request,
     check_key,
     finish_record,
@@ -132,6 +133,11 @@
         try:
             check_key(key, self.homes(), now_ms(), self.table.retention_ms)
             begin = self.begin(request, key)
+            while isinstance(begin, Wait):
+                if deadline - anyio.current_time() < 2 * RELAY_PAUSE_SECONDS:
+                    return begin.outcome
+                await anyio.sleep(RELAY_PAUSE_SECONDS)
+                begin = self.begin(request, key)
         except (KeyExpiredError, KeyMalformedError) as error:
             if request.attempt == 1:
                 return NotRun(reason=f"{error.code} {error}")
--- a/src/chervilstage/transport/request_body.py
+++ b/src/chervilstage/transport/request_body.py
@@ -10,10 +10,11 @@
 from ..errors.requests import (
     BodyTooLargeError,
     CallerLeftError,
+    HeaderTooLargeError,
     MalformedRequestError,
     RequestNotRunError,
 )
-from .http_connection import HttpConnection, header_map
+from .http_connection import MAXIMUM_HEADER_BYTES, HttpConnection, header_map
 
 # A body up to this size is received before a permit is taken, so that a slow caller
 # holds no slot, and can be sent again in a retry.
@@ -24,6 +25,16 @@
 Body = tuple[bytes, AsyncIterator[bytes] | None]
 
 
+def check_head(request: h11.Request) -> None:
+    """Check the size of a request's head, which may have come in one piece.
+
+    :raises HeaderTooLargeError: it is over the limit.
+    """
+    size = sum(len(name) + len(value) for name, value in request.headers)
+    if size + len(request.target) > MAXIMUM_HEADER_BYTES:
+        raise HeaderTooLargeError(limit=MAXIMUM_HEADER_BYTES)
+
+
 async def read_prefix(
     caller: HttpConnection, request: h11.Request, limit: int, deadline: float
 ) -> Body:
--- a/src/chervilstage/transport/service_requests.py
+++ b/src/chervilstage/transport/service_requests.py
@@ -91,7 +91,8 @@
             ):
                 return last or begun.outcome
             self.counters.add("requests_retried", self.name)
-            excluded |= {permit.upstream.identity.address}
+            if isinstance(begun.outcome, NotRun):
+                excluded |= {permit.upstream.identity.address}
         return last or NotRun(reason="every upstream asked refused")
 
     async def attempt(
--- a/src/chervilstage/transport/upstream_exchange.py
+++ b/src/chervilstage/transport/upstream_exchange.py
@@ -100,6 +100,10 @@
         return Ended(outcome=outcome, result=AttemptResult.TIMED_OUT)
     except (BodyTooLargeError, CallerLeftError):
         raise
+    except AnswerCrossedError as error:
+        pool.counters.add("answers_dropped", "crossed")
+        outcome = Unknown(reason=str(error))
+        return Ended(outcome=outcome, result=AttemptResult.FAILED)
     except (*CLOSED, ChervilstageError, h11.LocalProtocolError) as error:
         outcome = Unknown(reason=f"{type(error).__name__} {error}".strip())
         return Ended(outcome=outcome, result=AttemptResult.FAILED)
--- a/src/chervilstage/transport/upstream_pool.py
+++ b/src/chervilstage/transport/upstream_pool.py
@@ -96,6 +96,8 @@
 
 def is_quiet(connection: HttpConnection) -> bool:
     """Tell whether an idle connection is open and has no data that nobody asked for."""
+    if connection.codec.trailing_data[0]:
+        return False
     raw: socket.socket = connection.stream.extra(SocketAttribute.raw_socket)
     # Unlike select, poll has no limit on file descriptors.
     poll = select.poll()
--- a/testing/support/cell.py
+++ b/testing/support/cell.py
@@ -93,8 +93,11 @@
             for c in self.controls
         ]
 
-    def start_entry(self, entry: EntryHost) -> Started:
-        """Start one entry."""
+    def start_entry(self, entry: EntryHost, **extra: object) -> Started:
+        """Start one entry.
+
+        :param extra: settings besides the usual ones.
+        """
         settings: dict[str, object] = {
             "name": entry.name,
             "data_centre": entry.data_centre,
@@ -109,6 +112,7 @@
                 if e is not entry
             ],
             "replicas": self.replicas(),
+            **extra,
         }
         started = self.processes.start_with_settings(entry.name, "entry", settings)
         self.running[entry.name] = started
--- /dev/null
+++ b/testing/support/request_calls.py
@@ -0,0 +1,122 @@
+"""Requests of callers, and stand-in upstreams that count the runs of each key."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+import uuid
+from typing import Any, NamedTuple
+
+from chervilstage.coordination.rendezvous import rendezvous_order
+
+from .cell import Cell, EntryHost
+from .processes import Started, unique_host, wait_until
+
+TCP_PORT = 8001
+STANDIN_PORT = 7600
+
+
+class Reply(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    outcome: str
+    code: str
+    body: bytes
+
+    def field(self, name: str) -> Any:
+        """Return a field of the stand-in's answer."""
+        assert self.status == 200, self
+        return json.loads(self.body)[name]
+
+
+class Upstream(NamedTuple):
+    """A stand-in upstream and its control address."""
+
+    started: Started
+    host: str
+
+    def report(self) -> dict[str, Any]:
+        """Return its counters."""
+        connection = http.client.HTTPConnection(self.host, STANDIN_PORT, timeout=10)
+        connection.request("GET", "/v1/report")
+        report: dict[str, Any] = json.loads(connection.getresponse().read())
+        return report
+
+    def set_faults(self, **faults: object) -> None:
+        """Change how it misbehaves."""
+        connection = http.client.HTTPConnection(self.host, STANDIN_PORT, timeout=10)
+        connection.request("POST", "/v1/faults", body=json.dumps(faults))
+        assert connection.getresponse().status == 204
+
+
+def start_upstream(
+    cell: Cell, service: str, data_centre: str, work_ms: float, slots: int = 4
+) -> Upstream:
+    """Start a stand-in upstream with a control port."""
+    host = unique_host()
+    options = ["--host", host, "--control-port", str(STANDIN_PORT)]
+    options += ["--work-ms", str(work_ms), "--slots", str(slots)]
+    started = cell.start_upstream(service, data_centre, *options)
+    return Upstream(started=started, host=host)
+
+
+def new_key(home: str, age_ms: int = 0) -> str:
+    """Return a key made now, or that long ago."""
+    stamp = time.time_ns() // 1_000_000 - age_ms
+    return f"v1.{stamp}.{home}.{uuid.uuid4().hex}"
+
+
+def key_owned_by(cell: Cell, entry: EntryHost) -> str:
+    """Return a new key that an entry owns while its data centre is whole."""
+    home = [e.name for e in cell.entries if e.data_centre == entry.data_centre]
+    while True:
+        key = new_key(entry.data_centre)
+        if rendezvous_order(key, home)[0] == entry.name:
+            return key
+
+
+def send(
+    host: str,
+    method: str = "POST",
+    path: str = "/bookings",
+    *,
+    body: bytes = b"",
+    port: int = TCP_PORT,
+    **fields: object,
+) -> Reply:
+    """Send a request and return what came back; underscores stand for hyphens."""
+    headers = {name.replace("_", "-"): str(value) for name, value in fields.items()}
+    connection = http.client.HTTPConnection(host, port, timeout=30)
+    try:
+        connection.request(method, path, body=body, headers=headers)
+        answer = connection.getresponse()
+        return Reply(
+            status=answer.status,
+            outcome=answer.headers.get("Chervilstage-Outcome", ""),
+            code=answer.headers.get("Chervilstage-Code", ""),
+            body=answer.read(),
+        )
+    finally:
+        connection.close()
+
+
+def book(host: str, key: str, attempt: int = 2, timeout_ms: int = 5000) -> Reply:
+    """Send a booking under a key."""
+    return send(
+        host,
+        idempotency_key=key,
+        chervilstage_attempt=attempt,
+        chervilstage_timeout_ms=timeout_ms,
+    )
+
+
+def wait_bookings(cell: Cell) -> None:
+    """Wait until keys of every home are served through every entry."""
+    for entry in cell.entries:
+        for home in sorted({e.data_centre for e in cell.entries}):
+            wait_until(
+                lambda e=entry, h=home: book(e.host, new_key(h), 1).status == 200,  # type: ignore[misc]
+                f"bookings of {home} through {entry.name}",
+            )
--- a/testing/support/request_fakes.py
+++ b/testing/support/request_fakes.py
@@ -230,7 +230,7 @@
             self.now_ms(),
             self.now,
         )
-        if isinstance(decision, ownership.Finish):
+        if isinstance(decision, ownership.Finish | ownership.Wait):
             self.answer(entry, ask, decision.outcome)
         elif isinstance(decision, ownership.Relay):
             if ask.relayed:
