--- a/testing/support/cell.py
+++ b/testing/support/cell.py
@@ -96,7 +96,7 @@
     def start_entry(self, entry: EntryHost, **extra: object) -> Started:
         """Start one entry.
 
-        :param extra: settings besides the usual ones.
+        :param extra: settings in place of the usual ones.
         """
         settings: dict[str, object] = {
             "name": entry.name,
@@ -112,9 +112,10 @@
                 if e is not entry
             ],
             "replicas": self.replicas(),
-            **extra,
         }
-        started = self.processes.start_with_settings(entry.name, "entry", settings)
+        started = self.processes.start_with_settings(
+            entry.name, "entry", settings | extra
+        )
         self.running[entry.name] = started
         return started
 
