Share the slots of upstreams by capacity leases with a ramp

Each entry limited itself to the slots of an upstream, so four entries could send four times what it bears, and a fresh one got all of it at once. The lease owner of an upstream (rendezvous over the live entries of its data centre) now gives each asking entry a part of the slots by need, for 4 s. A ramp at the owner widens 1, 2, 4, ... requests and 1, 2, all entries on reported successes, and starts again when an entry sees refusals or latency far above the usual.

Safety: a lease counts from the sending of the ask at the holder and from its arrival at the owner, with 1 % for clock rates; an owner counts a silent holder's slots for another 5 s, the default deadline of a request; a new owner gives only what live entries report to hold until all have reported or 11 s have passed; a side of a cut without all entries of the data centre and without half of the group gives nothing.

Ruled out: a limit copied on each entry (overload), a subset of upstreams per entry (2 slots leave no spare), a new owner that waits without renewing (stops a quarter of the upstreams for 11 s after each loss of an entry).

Guards removed one at a time on a scratch copy. Failing with the guard removed: - takeover wait, reports of all entries, takeover time, growth within what is free, ramp: test_frozen_entries_use_no_slot_that_was_given_on - newest ask only, share of a cut side, loss of books after a pause: test_sum_over_all_entries_stays_within_capacity - holder's own clock, lease counted from the ask, 5 s for requests in flight: test_holder_stops_before_its_owner_gives_the_slot_on - restart of the ramp: test_turn_to_cold_without_notice_starts_the_ramp_again Not caught by any test when removed alone: the check of the own membership lease at each grant; the loss of the books after a pause covers it there. With all guards these tests pass.

--- /dev/null
+++ b/src/chervilstage/coordination/lease_owner.py
@@ -0,0 +1,256 @@
+"""The owner of an upstream shares its slots among the entries that ask."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from ..state.leases import AskItem, Claim, GrantItem, LeaseBook, OwnedLeases, Ramp
+from ..state.members import MemberTable
+from ..state.registry import UpstreamRegistry, is_leaving
+from ..state.types import UpstreamRecord
+from .ownership import owner_of, remaining_entries, share_of, upstream_name
+from .ramp import count_successes, ramp_entries, ramp_width, restart
+from .rendezvous import rendezvous_order
+
+CAPACITY_LEASE_SECONDS = 4.0
+# The clocks of two VMs differ in rate by far less than this.
+CLOCK_RATE_ERROR = 0.01
+# A request that is in flight when its lease runs out goes on at the upstream, at most
+# until its deadline; the default deadline of a service is 5 s.
+IN_FLIGHT_SECONDS = 5.0
+# Two sides of a cut notice it within one membership lease and a heartbeat.
+NOTICE_SECONDS = 2.0
+OWNER_LEASE_SECONDS = CAPACITY_LEASE_SECONDS * (1 + CLOCK_RATE_ERROR)
+TAKEOVER_SECONDS = OWNER_LEASE_SECONDS + IN_FLIGHT_SECONDS + NOTICE_SECONDS
+SOLICIT_SECONDS = 0.25
+# A holder keeps its slot unless the other entry needs it half as much again, so that
+# entries of like need do not take slots from each other in turn.
+HOLDER_ADVANTAGE = 1.5
+SHARE_RANK = 1_000
+
+
+class Grant(NamedTuple):
+    """Send a grant to an entry, which may be this one."""
+
+    entry: str
+    item: GrantItem
+
+
+def receive_ask(
+    owned: OwnedLeases,
+    registry: UpstreamRegistry,
+    table: MemberTable,
+    sender: str,
+    number: int,
+    items: Sequence[AskItem],
+    now: float,
+) -> list[Grant]:
+    """Take the ask of an entry and return what changes for whom."""
+    check_ownership(owned, registry, table, now)
+    grants: list[Grant] = []
+    for item in items:
+        record = registry.find(item.key)
+        if record is None or not _is_owner(table, record, now):
+            continue
+        if number <= owned.numbers.get((item.key, sender), -1):
+            continue
+        owned.numbers[(item.key, sender)] = number
+        book = _book(owned, table, record, item.key)
+        before = book.ramp.epoch
+        note_ask(book, table, record, sender, number, item, now)
+        changed = settle(book, table, record, now)
+        if book.ramp.epoch != before:
+            changed = set(book.claims)
+        grants += _grants(book, item.key, sorted(changed | {sender}))
+    return grants
+
+
+def check_ownership(
+    owned: OwnedLeases, registry: UpstreamRegistry, table: MemberTable, now: float
+) -> None:
+    """Drop the books that are not this entry's any more; start waits over.
+
+    A pause of the process counts as loss of all books: others may own them since.
+    """
+    paused = now - owned.checked_at > table.lease_seconds
+    owned.checked_at = now
+    if paused or not table.own_lease_holds(now):
+        owned.books.clear()
+        owned.live = ()
+    live = tuple(n for n in table.live() if table.is_staying(n))
+    if live == owned.live:
+        return
+    owned.live = live
+    owned.live_since = now
+    for key, book in list(owned.books.items()):
+        record = registry.find(key)
+        if record is None or owner_of(table, record) != table.name:
+            del owned.books[key]
+            continue
+        share = share_of(table, record, SHARE_RANK)
+        if share > book.share:
+            book.since, book.reported = now, set()
+            book.counted = set(book.claims)
+            book.known = sum(c.occupied for c in book.claims.values())
+        book.share = share
+
+
+def tick_owner(
+    owned: OwnedLeases, registry: UpstreamRegistry, table: MemberTable, now: float
+) -> list[Grant]:
+    """Drop leases that have run out, share what is free, ask for missing reports."""
+    check_ownership(owned, registry, table, now)
+    grants: list[Grant] = []
+    for key, book in list(owned.books.items()):
+        record = registry.find(key)
+        if record is None:
+            del owned.books[key]
+            continue
+        grants += _grants(book, key, sorted(settle(book, table, record, now)))
+        grants += _solicit(book, table, key, now)
+    return grants
+
+
+def restart_ramps(
+    owned: OwnedLeases, registry: UpstreamRegistry, data_centre: str
+) -> None:
+    """Let the upstreams of a data centre that is back in service ramp again."""
+    for key, book in owned.books.items():
+        record = registry.find(key)
+        if record is not None and record.data_centre == data_centre:
+            book.ramp = restart(book.ramp)
+
+
+def note_ask(
+    book: LeaseBook,
+    table: MemberTable,
+    record: UpstreamRecord,
+    sender: str,
+    number: int,
+    item: AskItem,
+    now: float,
+) -> None:
+    """Take one item of an ask into a book."""
+    if sender not in book.reported and not is_open(book, table, now):
+        book.known += item.held if sender not in book.counted else 0
+        known = Ramp(epoch=item.epoch, stage=item.stage)
+        if known[:2] > book.ramp[:2]:
+            book.ramp = known
+    book.reported.add(sender)
+    claim = book.claims.get(sender)
+    if claim is not None and item.epoch == book.ramp.epoch:
+        successes = max(0, item.successes - claim.successes)
+        book.ramp = count_successes(book.ramp, successes, record.slots)
+        if item.cold > claim.cold:
+            book.ramp = restart(book.ramp)
+    book.claims[sender] = Claim(
+        number=number,
+        want=item.want,
+        need=item.need,
+        occupied=item.held,
+        target=item.held,
+        expires_at=now + OWNER_LEASE_SECONDS,
+        successes=item.successes,
+        cold=item.cold,
+    )
+
+
+def settle(
+    book: LeaseBook, table: MemberTable, record: UpstreamRecord, now: float
+) -> set[str]:
+    """Share the slots anew and return the entries whose target changed."""
+    _expire(book, now)
+    active = {n: c for n, c in book.claims.items() if now < c.expires_at}
+    width = ramp_width(book.ramp.stage, record.slots)
+    limit = 0 if is_leaving(record) else share_of(table, record, width)
+    if not is_open(book, table, now):
+        limit = min(limit, book.known)
+    holders = ramp_entries(book.ramp.stage, len(table.members) + 1)
+    wishes = divide(active, upstream_name(record), limit, holders)
+    changed = set()
+    for name, claim in active.items():
+        total = sum(c.occupied for c in book.claims.values())
+        free = max(0, limit - total)
+        target = min(wishes.get(name, 0), claim.occupied + free)
+        if target != claim.target:
+            changed.add(name)
+        occupied = max(claim.occupied, target)
+        book.claims[name] = claim._replace(target=target, occupied=occupied)
+    return changed
+
+
+def divide(
+    claims: dict[str, Claim], upstream: str, limit: int, holders: int
+) -> dict[str, int]:
+    """Divide a limit by need, one slot a round, and return the targets."""
+    rank = {n: i for i, n in enumerate(rendezvous_order(upstream, claims))}
+
+    def order(name: str) -> tuple[float, int]:
+        claim = claims[name]
+        advantage = HOLDER_ADVANTAGE if claim.occupied else 1.0
+        return (-claim.need * advantage, rank[name])
+
+    askers = sorted((n for n, c in claims.items() if c.want), key=order)[:holders]
+    targets = dict.fromkeys(askers, 0)
+    while limit > 0:
+        hungry = [n for n in askers if targets[n] < claims[n].want][:limit]
+        if not hungry:
+            break
+        for name in hungry:
+            targets[name] += 1
+        limit -= len(hungry)
+    return targets
+
+
+def is_open(book: LeaseBook, table: MemberTable, now: float) -> bool:
+    """Tell whether no lease of an earlier owner can be in use unseen."""
+    if now - book.since >= TAKEOVER_SECONDS:
+        return True
+    return book.reported.issuperset({*remaining_entries(table), *table.live()})
+
+
+def _is_owner(table: MemberTable, record: UpstreamRecord, now: float) -> bool:
+    return owner_of(table, record) == table.name and table.own_lease_holds(now)
+
+
+def _book(
+    owned: OwnedLeases, table: MemberTable, record: UpstreamRecord, key: int
+) -> LeaseBook:
+    if key not in owned.books:
+        share = share_of(table, record, SHARE_RANK)
+        owned.books[key] = LeaseBook(since=owned.live_since, share=share)
+    return owned.books[key]
+
+
+def _expire(book: LeaseBook, now: float) -> None:
+    for name, claim in list(book.claims.items()):
+        rest = IN_FLIGHT_SECONDS if claim.occupied else 0.0
+        if now >= claim.expires_at + rest:
+            del book.claims[name]
+
+
+def _grants(book: LeaseBook, key: int, names: Sequence[str]) -> list[Grant]:
+    return [
+        Grant(
+            entry=name,
+            item=GrantItem(
+                key=key,
+                number=book.claims[name].number,
+                target=book.claims[name].target,
+                epoch=book.ramp.epoch,
+                stage=book.ramp.stage,
+            ),
+        )
+        for name in names
+        if name in book.claims
+    ]
+
+
+def _solicit(book: LeaseBook, table: MemberTable, key: int, now: float) -> list[Grant]:
+    if is_open(book, table, now) or now - book.solicited_at < SOLICIT_SECONDS:
+        return []
+    book.solicited_at = now
+    item = GrantItem(key=key, number=0, target=0, epoch=0, stage=0, report=True)
+    missing = sorted(set(table.live()) - book.reported)
+    return [Grant(entry=name, item=item) for name in missing]
--- a/src/chervilstage/coordination/selection.py
+++ b/src/chervilstage/coordination/selection.py
@@ -2,34 +2,45 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Sequence
 from random import Random
+from typing import NamedTuple
 
-from ..errors.upstreams import NoUpstreamError
-from ..state.types import Address, UpstreamPhase, UpstreamRecord
+from ..state.types import UpstreamRecord
 
+# A report older than this says nothing about the present load.
+REPORT_SECONDS = 3.0
 
-def choose_upstream(
-    *,
-    service: str,
-    records: Sequence[UpstreamRecord],
-    in_flight: Counter[Address],
-    excluded: frozenset[Address],
-    rng: Random,
-) -> UpstreamRecord:
-    """Take the less loaded of two random candidates.
 
-    :raises NoUpstreamError: no candidate is ready and under its limit.
+class Candidate(NamedTuple):
+    """An upstream that may take one more request of this entry.
+
+    ``load`` is this entry's own requests in flight plus the aged report; ``latency``
+    is in seconds; ``away`` tells that it is in another data centre.
+    """
+
+    record: UpstreamRecord
+    load: float
+    latency: float
+    away: bool
+    trial: bool = False
+
+
+def aged_load(reported: int, own: int, age: float) -> float:
+    """Return the load of an upstream by others, from a report that ages.
+
+    :param own: the requests of this entry, which the report counts too.
+    :param age: seconds since the report.
     """
-    candidates = [
-        r
-        for r in records
-        if r.phase is UpstreamPhase.READY
-        and r.identity.address not in excluded
-        and in_flight[r.identity.address] < r.slots
-    ]
+    return max(0, reported - own) * max(0.0, 1 - age / REPORT_SECONDS)
+
+
+def choose(candidates: Sequence[Candidate], rng: Random) -> Candidate | None:
+    """Take the less loaded of two random candidates; a due trial goes first."""
+    trials = [c for c in candidates if c.trial]
+    if trials:
+        return rng.choice(trials)
     if not candidates:
-        raise NoUpstreamError(service=service)
+        return None
     pair = rng.sample(candidates, min(2, len(candidates)))
-    return min(pair, key=lambda r: in_flight[r.identity.address])
+    return min(pair, key=lambda c: (c.load, c.away, c.latency))
--- /dev/null
+++ b/src/chervilstage/protocol/capacity_messages.py
@@ -0,0 +1,42 @@
+"""Encoding of the messages about capacity leases."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ..state.leases import AskItem, GrantItem
+from .schemas import pack, schema, unpack
+
+
+def encode_ask(number: int, items: Sequence[AskItem]) -> bytes:
+    """Return the encoding of an ask."""
+    message = schema("capacity").CapacityAsk.new_message(number=number)
+    message.items = [item._asdict() for item in items]
+    return pack(message)
+
+
+def decode_ask(data: bytes) -> tuple[int, list[AskItem]]:
+    """Decode an ask into its number and items.
+
+    :raises EnvelopeFormatError: the bytes are no ask.
+    """
+    message = unpack(schema("capacity").CapacityAsk, data)
+    items = [AskItem(*(getattr(i, f) for f in AskItem._fields)) for i in message.items]
+    return message.number, items
+
+
+def encode_grants(items: Sequence[GrantItem]) -> bytes:
+    """Return the encoding of grants."""
+    message = schema("capacity").CapacityGrant.new_message()
+    message.items = [item._asdict() for item in items]
+    return pack(message)
+
+
+def decode_grants(data: bytes) -> list[GrantItem]:
+    """Decode grants.
+
+    :raises EnvelopeFormatError: the bytes are no grants.
+    """
+    message = unpack(schema("capacity").CapacityGrant, data)
+    fields = GrantItem._fields
+    return [GrantItem(*(getattr(i, f) for f in fields)) for i in message.items]
--- a/src/chervilstage/transport/capacity.py
+++ b/src/chervilstage/transport/capacity.py
@@ -1,19 +1,67 @@
-"""Permits for attempts at upstreams, within the limits of this entry."""
+"""Permits for attempts at upstreams, within the leases of this entry."""
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable
+import time
+from collections import defaultdict, deque
+from collections.abc import Callable, Sequence
 from random import Random
+from typing import NamedTuple
 
 import anyio
+from anyio.abc import TaskGroup
 
 from ..coordination.flows import in_service
-from ..coordination.selection import choose_upstream
+from ..coordination.health import (
+    Standing,
+    Verdict,
+    begin_attempt,
+    end_attempt,
+    standing,
+)
+from ..coordination.lease_holder import (
+    forget_leases,
+    free_slots,
+    give_slot,
+    make_asks,
+    note_demand,
+    receive_grant,
+    take_slot,
+    usable,
+)
+from ..coordination.lease_owner import Grant, receive_ask, restart_ramps, tick_owner
+from ..coordination.ramp import is_warm
+from ..coordination.selection import Candidate, aged_load, choose
+from ..errors.upstreams import NoUpstreamError
+from ..protocol.capacity_messages import (
+    decode_ask,
+    decode_grants,
+    encode_ask,
+    encode_grants,
+)
+from ..protocol.kinds import Kind
 from ..state.capacity import AttemptResult, Permit
 from ..state.configuration import Configuration
-from ..state.registry import UpstreamRegistry
-from ..state.types import Address
+from ..state.counters import Counters
+from ..state.health import HealthTable
+from ..state.leases import AskItem, GrantItem, HeldLeases, OwnedLeases
+from ..state.members import MemberTable
+from ..state.registry import UpstreamRegistry, is_leaving
+from ..state.types import Address, UpstreamRecord
+from ..state.upstream_keys import upstream_key
+from .application import Hooks
+from .event_log import log_event
+from .peer_link import PeerLink
+
+TICK_SECONDS = 0.05
+
+
+class Waiter(NamedTuple):
+    """A request that waits for a permit; ``permits`` gets the one it is given."""
+
+    excluded: frozenset[Address]
+    event: anyio.Event
+    permits: list[Permit]
 
 
 class UpstreamCapacity:
@@ -27,36 +75,269 @@
         *,
         registry: UpstreamRegistry,
         configuration: Callable[[], Configuration],
+        members: MemberTable,
+        link: PeerLink,
+        counters: Counters,
         rng: Random,
     ) -> None:
         self.registry = registry
         self.configuration = configuration
+        self.members = members
+        self.link = link
+        self.counters = counters
         self.rng = rng
-        self.in_flight: Counter[Address] = Counter()
+        self.health = HealthTable()
+        self.owned = OwnedLeases()
+        # Wall-clock milliseconds keep the asks of a new run above those of an old one.
+        self.held = HeldLeases(number=time.time_ns() // 1_000_000)
+        self.waiters: dict[str, deque[Waiter]] = defaultdict(deque)
+        self.out: frozenset[str] = frozenset()
+        link.register(Kind.CAPACITY_REQUEST, self.receive_ask)
+        link.register(Kind.CAPACITY_GRANT, self.receive_grants)
 
     async def acquire(
         self, *, service: str, excluded: frozenset[Address], deadline: float
     ) -> Permit:
         """Wait for a permit for one attempt.
 
-        :param excluded: upstreams that this request has been refused by.
+        :param excluded: addresses of upstreams that this request has been refused by.
         :param deadline: monotonic seconds until which to wait.
         :raises NoUpstreamError: no upstream can take the attempt in time.
         """
-        records = self.registry.of_service(service)
-        chosen = choose_upstream(
-            service=service,
-            records=in_service(records, self.configuration()),
-            in_flight=self.in_flight,
-            excluded=excluded,
-            rng=self.rng,
+        self.note_concurrency(service, 1)
+        queue = self.waiters[service]
+        permit = None if queue else self.try_acquire(service, excluded)
+        if permit is not None:
+            return permit
+        waiter = Waiter(excluded=excluded, event=anyio.Event(), permits=[])
+        queue.append(waiter)
+        self.held.waiting[service] += 1
+        try:
+            self.send_asks()
+            self.serve_waiters(service)
+            with anyio.CancelScope(deadline=deadline):
+                await waiter.event.wait()
+        except anyio.get_cancelled_exc_class():
+            for granted in waiter.permits:
+                self.release(permit=granted, result=AttemptResult.CANCELLED, seconds=0)
+            raise
+        finally:
+            self.held.waiting[service] -= 1
+            if waiter in queue:
+                queue.remove(waiter)
+        if waiter.permits:
+            return waiter.permits[0]
+        self.counters.add("permits_refused", service)
+        raise NoUpstreamError(service=service)
+
+    def serve_waiters(self, service: str) -> None:
+        """Give permits to the requests that wait, first come, first served."""
+        queue = self.waiters[service]
+        for waiter in list(queue):
+            permit = self.try_acquire(service, waiter.excluded)
+            if permit is not None:
+                queue.remove(waiter)
+                waiter.permits.append(permit)
+                waiter.event.set()
+            elif not waiter.excluded:
+                return
+
+    def try_acquire(self, service: str, excluded: frozenset[Address]) -> Permit | None:
+        """Return a permit if an upstream can take one more request now."""
+        now = anyio.current_time()
+        candidates = [
+            candidate
+            for record in self.records(service)
+            if record.identity.address not in excluded
+            and (candidate := self.candidate(record, now)) is not None
+        ]
+        chosen = choose(candidates, self.rng)
+        if chosen is None:
+            return None
+        key = upstream_key(chosen.record.identity)
+        take_slot(self.held, key)
+        begin_attempt(self.health, key)
+        return Permit(upstream=chosen.record, granted_at=now)
+
+    def candidate(self, record: UpstreamRecord, now: float) -> Candidate | None:
+        """Return a record as a candidate if it can take one more request."""
+        key = upstream_key(record.identity)
+        state = standing(self.health, key, now)
+        if state is Standing.EJECTED or not self.takes_work(record):
+            return None
+        if free_slots(self.held, key, now) <= 0:
+            return None
+        own = self.held.in_flight[key]
+        age = now - self.registry.heard_at[record.identity.address]
+        return Candidate(
+            record=record,
+            load=own + aged_load(record.load, own, age),
+            latency=self.health.get(key).latency,
+            away=record.data_centre != self.members.data_centre,
+            trial=state is Standing.TRIAL_DUE,
         )
-        self.in_flight[chosen.identity.address] += 1
-        return Permit(upstream=chosen, granted_at=anyio.current_time())
 
     def release(self, *, permit: Permit, result: AttemptResult, seconds: float) -> None:
         """Give a permit back.
 
         :param seconds: how long the attempt took.
         """
-        self.in_flight[permit.upstream.identity.address] -= 1
+        identity = permit.upstream.identity
+        key, service = upstream_key(identity), identity.service
+        records = [r for r in self.records(service) if self.takes_work(r)]
+        verdict = end_attempt(
+            self.health,
+            key,
+            result,
+            seconds,
+            {upstream_key(r.identity): r.slots for r in records},
+            sum(r.load for r in records),
+            anyio.current_time(),
+            self.rng,
+        )
+        succeeded = result is AttemptResult.SUCCEEDED
+        give_slot(self.held, key, succeeded=succeeded, cold=verdict.cold)
+        self.log_verdict(permit.upstream, verdict)
+        self.serve_waiters(service)
+        if verdict.cold:
+            self.send_asks()
+
+    def log_verdict(self, record: UpstreamRecord, verdict: Verdict) -> None:
+        """Count and log what changed about an upstream."""
+        address = record.identity.address
+        for name in ("cold", "ejected", "returned"):
+            if getattr(verdict, name):
+                self.counters.add(f"upstreams_{name}", record.identity.service)
+                log_event(
+                    f"upstream_{name}",
+                    service=record.identity.service,
+                    address=f"{address.host}:{address.port}",
+                )
+
+    def records(self, service: str) -> Sequence[UpstreamRecord]:
+        """Return the records of a service that operators have not taken out."""
+        return in_service(self.registry.of_service(service), self.configuration())
+
+    def takes_work(self, record: UpstreamRecord) -> bool:
+        """Tell whether an upstream may get new requests at all."""
+        return (
+            not is_leaving(record)
+            and record.data_centre not in self.configuration().out
+            and record.identity.address not in self.registry.unreachable
+        )
+
+    def note_concurrency(self, service: str, new: int) -> None:
+        """Note how many requests of a service run or wait, new ones included."""
+        running = sum(
+            self.held.in_flight[upstream_key(r.identity)]
+            for r in self.registry.of_service(service)
+        )
+        concurrent = running + self.held.waiting[service] + new
+        note_demand(self.held, service, concurrent, anyio.current_time())
+
+    def send_asks(self) -> None:
+        """Send the asks that are due."""
+        asks = make_asks(
+            self.held,
+            self.members,
+            self.registry.records.values(),
+            self.takes_work,
+            anyio.current_time(),
+        )
+        for ask in asks:
+            if ask.owner == self.members.name:
+                self.give(self.ask(ask.owner, ask.number, ask.items))
+            else:
+                body = encode_ask(ask.number, ask.items)
+                self.link.send(ask.owner, Kind.CAPACITY_REQUEST, body)
+
+    def ask(self, sender: str, number: int, items: Sequence[AskItem]) -> list[Grant]:
+        """Decide on an ask as the owner."""
+        return receive_ask(
+            self.owned,
+            self.registry,
+            self.members,
+            sender,
+            number,
+            items,
+            anyio.current_time(),
+        )
+
+    def receive_ask(self, sender: str, body: bytes) -> None:
+        """Take the ask of a peer."""
+        number, items = decode_ask(body)
+        self.give(self.ask(sender, number, items))
+
+    def receive_grants(self, sender: str, body: bytes) -> None:
+        """Take the grants of a peer."""
+        self.take_grants(sender, decode_grants(body))
+
+    def take_grants(self, sender: str, items: Sequence[GrantItem]) -> None:
+        """Take grants and wake the requests that wait for them."""
+        now = anyio.current_time()
+        for item in items:
+            record = self.registry.find(item.key)
+            if receive_grant(self.held, sender, item, now) and record is not None:
+                self.serve_waiters(record.identity.service)
+
+    def give(self, grants: Sequence[Grant]) -> None:
+        """Send grants, one message to each entry."""
+        by_entry: dict[str, list[GrantItem]] = defaultdict(list)
+        for grant in grants:
+            by_entry[grant.entry].append(grant.item)
+        for entry, items in by_entry.items():
+            if entry == self.members.name:
+                self.take_grants(entry, items)
+            elif entry in self.members.members:
+                self.link.send(entry, Kind.CAPACITY_GRANT, encode_grants(items))
+
+    def on_configuration(self) -> None:
+        """Let the upstreams of data centres that are back in service ramp."""
+        out = self.configuration().out
+        for data_centre in self.out - out:
+            restart_ramps(self.owned, self.registry, data_centre)
+        self.out = out
+
+    def gauges(self) -> dict[str, float]:
+        """Return how many upstreams are in which state and the leases held."""
+        records = self.registry.records.values()
+        keys = {upstream_key(r.identity) for r in records}
+        warming = sum(
+            1
+            for key, book in self.owned.books.items()
+            if (record := self.registry.find(key)) is not None
+            and not is_warm(book.ramp.stage, record.slots)
+        )
+        now = anyio.current_time()
+        return {
+            "upstreams_ready": sum(map(self.takes_work, records)),
+            "upstreams_leaving": sum(map(is_leaving, records)),
+            "upstreams_ejected": len(self.health.ejected() & keys),
+            "upstreams_warming_owned": warming,
+            "upstreams_unreachable": len(self.registry.unreachable),
+            "capacity_leases_held": sum(
+                usable(lease, now) for lease in self.held.leases.values()
+            ),
+        }
+
+    async def run(self) -> None:
+        """Renew leases and look after owned ones, until cancelled."""
+        while True:
+            self.give(
+                tick_owner(
+                    self.owned, self.registry, self.members, anyio.current_time()
+                )
+            )
+            self.send_asks()
+            forget_leases(self.held, self.registry.by_key)
+            for service in [s for s, queue in self.waiters.items() if queue]:
+                self.serve_waiters(service)
+            await anyio.sleep(TICK_SECONDS)
+
+    async def start(self, group: TaskGroup) -> None:
+        """Begin to look after leases."""
+        group.start_soon(self.run)
+
+    def hooks(self) -> Hooks:
+        """Return the life-cycle hooks."""
+        return Hooks(name="capacity", start=self.start)
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -47,7 +47,12 @@
     )
     membership = Membership(table=members, link=link)
     capacity = UpstreamCapacity(
-        registry=registry, configuration=lambda: in_force.current, rng=Random()
+        registry=registry,
+        configuration=lambda: in_force.current,
+        members=members,
+        link=link,
+        counters=counters,
+        rng=Random(),
     )
     front_ends = FrontEnds(
         host=host,
@@ -71,6 +76,7 @@
         revision = in_force.current.revision
         members.report = members.report._replace(revision=revision)
         front_ends.reconcile()
+        capacity.on_configuration()
 
     client = ConfigurationClient(
         replicas=peers_of(settings.get("replicas", [])),
@@ -85,6 +91,7 @@
             "revision_in_force": in_force.current.revision,
             "upstreams_registered": len(registry.records),
             "members_live": len(members.live()),
+            **capacity.gauges(),
         }
 
     app = Application(
@@ -102,6 +109,7 @@
         frame_server,
         link,
         membership,
+        capacity,
         front_ends,
         registration,
         client,
--- /dev/null
+++ b/testing/coordination/test_leases.py
@@ -0,0 +1,217 @@
+"""Capacity leases of four entries on the slots of upstreams."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from chervilstage.coordination.lease_holder import free_slots, receive_grant
+from chervilstage.coordination.lease_owner import (
+    IN_FLIGHT_SECONDS,
+    note_ask,
+    settle,
+)
+from chervilstage.state.leases import AskItem, GrantItem, HeldLease, LeaseBook
+from chervilstage.state.upstream_keys import upstream_key
+from testing.support.upstream_fakes import FakeGroup, record_of
+from testing.support.upstream_load import FakeLoad
+
+ENTRIES = [f"e{n}" for n in range(4)]
+LAYOUTS = [("gl-erie",) * 4, ("gl-erie", "gl-erie", "gl-huron", "gl-huron")]
+UPSTREAMS = 2
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Load, replaced upstreams, lost, frozen, cut off and restarted entries."""
+
+    @initialize(
+        seed=st.integers(0, 2**16),
+        layout=st.sampled_from(LAYOUTS),
+        slots=st.sampled_from([2, 4]),
+    )
+    def start(self, seed: int, layout: tuple[str, ...], slots: int) -> None:
+        self.group = FakeGroup(seed=seed, layout=layout)
+        self.load = FakeLoad(group=self.group, work=(0.02, 0.1))
+        self.slots = slots
+        self.incarnations = [0] * UPSTREAMS
+        for number in range(UPSTREAMS):
+            self.replace(number)
+        self.load.offered = dict.fromkeys(ENTRIES, 4)
+        self.load.run(12)
+        self.load.work = (0.05, 4.9)
+
+    @rule(number=st.integers(0, UPSTREAMS - 1))
+    def replace(self, number: int) -> None:
+        """Start a fresh upstream at the address."""
+        for key, upstream in list(self.load.upstreams.items()):
+            if upstream.record.identity.address.host == f"127.1.0.{number + 1}":
+                del self.load.upstreams[key]
+        self.incarnations[number] += 1
+        centre = ("gl-erie", self.group.peers[-1].data_centre)[number]
+        self.load.add(
+            record_of(
+                number,
+                incarnation=self.incarnations[number],
+                slots=self.slots,
+                data_centre=centre,
+            )
+        )
+
+    @rule(entry=st.sampled_from(ENTRIES), requests=st.sampled_from([0, 1, 4, 9]))
+    def offer(self, entry: str, requests: int) -> None:
+        self.load.offered[entry] = requests
+        self.load.run(0.5)
+
+    @rule(entry=st.sampled_from(ENTRIES), seconds=st.sampled_from([2, 10]))
+    def freeze(self, entry: str, seconds: int) -> None:
+        if entry in self.group.entries:
+            self.group.entries[entry].frozen ^= True
+        self.load.run(seconds)
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def kill_or_restart(self, entry: str) -> None:
+        if entry in self.group.entries:
+            self.load.kill(entry)
+        else:
+            self.load.restart(entry)
+        self.load.run(1)
+
+    @rule(side=st.sets(st.sampled_from(ENTRIES), max_size=2))
+    def cut(self, side: set[str]) -> None:
+        self.group.network.side = frozenset(side)
+        self.load.run(2)
+
+    @rule(loss=st.sampled_from([0.0, 0.1]), delay=st.sampled_from([0.02, 0.2]))
+    def weather(self, loss: float, delay: float) -> None:
+        self.group.network.loss = loss
+        self.group.network.most_delay = delay
+
+    @precondition(lambda self: self.group.entries)
+    @rule(seconds=st.sampled_from([0.5, 1.5, 3.0, 6.0, 12.0]))
+    def wait(self, seconds: float) -> None:
+        self.load.run(seconds)
+
+    @invariant()
+    def no_upstream_has_more_than_it_bears(self) -> None:
+        if hasattr(self, "load"):
+            assert self.load.excess() <= 0, self.load.excess()
+
+
+class LeaseTests(TestCase):
+    """Guards against entries that together overload an upstream."""
+
+    def test_sum_over_all_entries_stays_within_capacity(self) -> None:
+        run_state_machine_as_test(LeaseMachine)
+
+    def warm_load(self, seed: int = 3, slots: int = 4) -> FakeLoad:
+        """Return a group under load with one warm upstream."""
+        load = FakeLoad(group=FakeGroup(seed=seed), work=(0.05, 0.1))
+        load.group.run(1)
+        load.add(record_of(0, slots=slots))
+        load.offered = dict.fromkeys(load.offered, 2)
+        load.run(20)
+        return load
+
+    def test_leases_use_all_slots_and_need_few_messages(self) -> None:
+        load = self.warm_load()
+        [upstream] = load.upstreams.values()
+        before, sent = upstream.answered, load.group.network.sent
+        load.run(20)
+        self.assertThat(upstream.answered - before, GreaterThan(20 * 4 / 0.125 * 0.8))
+        self.assertThat(load.excess(), LessThan(1))
+        per_second = (load.group.network.sent - sent) / 20
+        self.assertThat(per_second, LessThan(120))
+
+    def test_idle_entries_return_their_slots(self) -> None:
+        load = self.warm_load(slots=2)
+        load.offered = {"e0": 0, "e1": 0, "e2": 0, "e3": 2}
+        load.run(15)
+        [upstream] = load.upstreams.values()
+        before = upstream.answered
+        load.run(10)
+        self.assertThat(upstream.answered - before, GreaterThan(150))
+
+    def test_turn_to_cold_without_notice_starts_the_ramp_again(self) -> None:
+        load = self.warm_load()
+        [upstream] = load.upstreams.values()
+        upstream.successes = 0
+        refused = upstream.refusals
+        load.run(2)
+        settled = upstream.refusals
+        load.run(10)
+        self.assertThat(load.colds, GreaterThan(0))
+        self.assertThat(settled - refused, LessThan(40))
+        self.assertThat(upstream.refusals, Equals(settled))
+
+    def test_frozen_entries_use_no_slot_that_was_given_on(self) -> None:
+        for seed in range(3):
+            load = self.warm_load(seed=seed, slots=2 + 2 * (seed % 2))
+            load.offered = dict.fromkeys(load.offered, 4)
+            load.work = (0.05, 4.9)
+            for name in ENTRIES * 2:
+                entry = load.group.entries[name]
+                load.run(load.group.rng.uniform(0.5, 3))
+                entry.frozen = True
+                load.run(load.group.rng.uniform(3, 12))
+                entry.frozen = False
+                load.run(1)
+            self.assertThat(load.excess(), LessThan(1), f"seed {seed}")
+
+    @given(
+        rates=st.tuples(st.floats(0.995, 1.005), st.floats(0.995, 1.005)),
+        there=st.floats(0.0, 5.0),
+        back=st.floats(0.0, 5.0),
+    )
+    def test_holder_stops_before_its_owner_gives_the_slot_on(
+        self, rates: tuple[float, float], there: float, back: float
+    ) -> None:
+        group = FakeGroup(seed=1)
+        holder, owner = group.entries["e0"], group.entries["e1"]
+        holder.rate, owner.rate = rates
+        record = record_of(0)
+        for entry in (holder, owner):
+            entry.registry.merge(record, 0.0)
+        held, key = holder.held, upstream_key(record.identity)
+        held.leases[key] = HeldLease(
+            owner="e1", number=1, asked_at=100.0 * holder.rate, answered=False
+        )
+        book = LeaseBook(since=float("-inf"), share=1)
+        ask = AskItem(
+            key=key, want=1, held=0, need=1, successes=0, cold=0, epoch=0, stage=0
+        )
+        received = (100.0 + there) * owner.rate
+        note_ask(book, owner.table, record, "e0", 1, ask, received)
+        settle(book, owner.table, record, received)
+        grant = GrantItem(key=key, number=1, target=1, epoch=0, stage=0)
+        receive_grant(held, "e1", grant, (100.0 + there + back) * holder.rate)
+        book.claims["e0"] = book.claims["e0"]._replace(occupied=1)
+        for step in range(1, 300):
+            now = 100.0 + there + step * 0.05
+            settle(book, owner.table, record, now * owner.rate)
+            last_start = now - IN_FLIGHT_SECONDS
+            if not book.claims:
+                slots = free_slots(held, key, last_start * holder.rate)
+                self.assertThat(slots, Equals(0))
+                return
+        self.fail("the lease never ran out")
+
+    def test_lost_owner_leaves_the_others_their_slots(self) -> None:
+        load = self.warm_load()
+        [upstream] = load.upstreams.values()
+        for name in ENTRIES:
+            load.kill(name)
+            before = upstream.answered
+            load.run(4)
+            self.assertThat(upstream.answered - before, GreaterThan(50), name)
+            load.restart(name)
+            load.run(15)
+        self.assertThat(load.excess(), LessThan(1))
--- a/testing/support/upstream_fakes.py
+++ b/testing/support/upstream_fakes.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
+from chervilstage.coordination.lease_holder import AskTo, make_asks, receive_grant
+from chervilstage.coordination.lease_owner import Grant, receive_ask, tick_owner
 from chervilstage.coordination.membership import (
     MemberEventKind,
     expire_members,
@@ -25,8 +27,9 @@
     receive_records,
     take_announcement,
 )
+from chervilstage.state.leases import HeldLeases, OwnedLeases
 from chervilstage.state.members import MemberReport, MemberTable
-from chervilstage.state.registry import UpstreamRegistry
+from chervilstage.state.registry import UpstreamRegistry, is_leaving
 from chervilstage.state.spread import SpreadState
 from chervilstage.state.types import (
     Address,
@@ -114,6 +117,8 @@
         self.frozen = False
         self.inbox: list[Callable[[], None]] = []
         self.registry = UpstreamRegistry()
+        self.owned = OwnedLeases()
+        self.held = HeldLeases(number=0)
         self.spread = SpreadState()
         self.table = MemberTable(
             name=name,
@@ -121,7 +126,6 @@
             peers=[p for p in peers if p.name != name],
             lease_seconds=LEASE_SECONDS,
         )
-        self.table.report = MemberReport(incarnation=1)
 
 
 class FakeGroup:
@@ -136,16 +140,25 @@
             )
             for n, dc in enumerate(layout)
         ]
-        self.entries = {
-            p.name: FakeEntry(
-                name=p.name,
-                peers=self.peers,
-                data_centre=p.data_centre,
-                rate=self.rng.uniform(0.995, 1.005),
-            )
-            for p in self.peers
-        }
+        self.entries: dict[str, FakeEntry] = {}
+        self.runs = 0
         self.ticks = 0
+        for peer in self.peers:
+            self.start(peer.name)
+
+    def start(self, name: str) -> None:
+        """Start an entry, or start it again without what it knew."""
+        self.runs += 1
+        peer = next(p for p in self.peers if p.name == name)
+        entry = FakeEntry(
+            name=name,
+            peers=self.peers,
+            data_centre=peer.data_centre,
+            rate=self.rng.uniform(0.995, 1.005),
+        )
+        entry.table.report = MemberReport(incarnation=self.runs)
+        entry.held.number = self.runs * 1_000_000
+        self.entries[name] = entry
 
     def clock(self, entry: FakeEntry) -> float:
         """Return the time of an entry's own clock."""
@@ -175,6 +188,9 @@
         if self.ticks % round(HEARTBEAT_SECONDS / STEP_SECONDS) == 0:
             expire_members(entry.table, now)
             self.heartbeat(entry)
+        grants = tick_owner(entry.owned, entry.registry, entry.table, now)
+        self.give(entry, grants)
+        self.ask(entry)
         if self.ticks % round(REFRESH_SECONDS / STEP_SECONDS) == 0:
             effects = make_refresh(
                 entry.registry, entry.spread, entry.table, now, self.rng
@@ -182,13 +198,59 @@
             self.perform(entry, effects)
             expire_records(entry.registry, entry.table, now)
 
+    def ask(self, entry: FakeEntry) -> None:
+        """Send the asks that are due."""
+        records = list(entry.registry.records.values())
+        for ask in make_asks(
+            entry.held,
+            entry.table,
+            records,
+            lambda record: not is_leaving(record),
+            self.clock(entry),
+        ):
+
+            def deliver(ask: AskTo = ask) -> None:
+                owner = self.entries[ask.owner]
+                grants = receive_ask(
+                    owner.owned,
+                    owner.registry,
+                    owner.table,
+                    entry.name,
+                    ask.number,
+                    ask.items,
+                    self.clock(owner),
+                )
+                self.give(owner, grants)
+
+            self.send(entry.name, ask.owner, deliver)
+
+    def give(self, entry: FakeEntry, grants: Sequence[Grant]) -> None:
+        """Send the grants of an owner."""
+        for grant in grants:
+
+            def deliver(grant: Grant = grant) -> None:
+                target = self.entries[grant.entry]
+                now = self.clock(target)
+                receive_grant(target.held, entry.name, grant.item, now)
+
+            self.send(entry.name, grant.entry, deliver)
+
+    def send(self, source: str, target: str, deliver: Callable[[], None]) -> None:
+        """Send a message, or deliver it at once where an entry tells itself."""
+        if source == target:
+            deliver()
+        else:
+            self.network.send(source, target, deliver)
+
     def heartbeat(self, entry: FakeEntry) -> None:
         """Send the heartbeats of one entry."""
         for name in entry.table.members:
             beat = make_heartbeat(entry.table, name, self.clock(entry))
 
             def deliver(target: str = name, beat: object = beat) -> None:
-                peer = self.entries[target]
+                peer = self.entries.get(target)
+                if peer is None:
+                    return
                 events = receive_heartbeat(
                     peer.table,
                     entry.name,
@@ -206,7 +268,9 @@
         for effect in effects:
 
             def deliver(effect: Effect = effect) -> None:
-                target = self.entries[effect.peer]
+                target = self.entries.get(effect.peer)
+                if target is None:
+                    return
                 self.perform(target, self.receive(target, entry.name, effect))
 
             self.network.send(entry.name, effect.peer, deliver)
