--- a/src/chervilstage/protocol/kinds.py
+++ b/src/chervilstage/protocol/kinds.py
@@ -17,7 +17,8 @@
     PIN_QUERY = 23
     PIN_ANSWER = 24
     PIN_LIST = 25
-    PIN_LIST_ACK = 26
+    PIN_LIST_REQUEST = 26
+    PIN_TOLD = 27
 
     UPSTREAM_RECORDS = 40
     UPSTREAM_DIGEST = 41
@@ -32,6 +33,9 @@
     VOTE = 80
     APPEND = 81
     SNAPSHOT = 82
+    REPLICA_HELLO = 83
+    OPERATOR_CALL = 84
 
     CONFIGURATION_FETCH = 100
     STATUS = 101
+    EXPLAIN_FLOW = 102
--- a/testing/support/upstream_fakes.py
+++ b/testing/support/upstream_fakes.py
@@ -129,9 +129,19 @@
 
 
 class FakeGroup:
-    """Four entries on one network."""
+    """Four entries on one network.
 
-    def __init__(self, *, seed: int, layout: Sequence[str] = ("gl-erie",) * 4) -> None:
+    :param leases: whether the entries ask for capacity leases.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        layout: Sequence[str] = ("gl-erie",) * 4,
+        leases: bool = True,
+    ) -> None:
+        self.leases = leases
         self.rng = Random(seed)
         self.network = FakeNetwork(rng=self.rng)
         self.peers = [
@@ -188,9 +198,10 @@
         if self.ticks % round(HEARTBEAT_SECONDS / STEP_SECONDS) == 0:
             expire_members(entry.table, now)
             self.heartbeat(entry)
-        grants = tick_owner(entry.owned, entry.registry, entry.table, now)
-        self.give(entry, grants)
-        self.ask(entry)
+        if self.leases:
+            grants = tick_owner(entry.owned, entry.registry, entry.table, now)
+            self.give(entry, grants)
+            self.ask(entry)
         if self.ticks % round(REFRESH_SECONDS / STEP_SECONDS) == 0:
             effects = make_refresh(
                 entry.registry, entry.spread, entry.table, now, self.rng
