--- a/src/chervilstage/coordination/health.py
+++ b/src/chervilstage/coordination/health.py
@@ -25,6 +25,9 @@
 FLOOR_SHARE = 0.5
 FLOOR_LOAD = 0.8
 
+# An attempt that began before the trial was due is no trial.
+ROUNDING_SECONDS = 1e-6
+
 COLD_REFUSALS = 2
 COLD_REFUSAL_SECONDS = 5.0
 SLOW_FACTOR = 3.0
@@ -92,7 +95,8 @@
     if cold:
         observed = observed._replace(cold_at=now, refusals=(), slow_streak=0)
     if before.trial_at is not None:
-        observed = _after_trial(observed, result, now, rng)
+        if now - seconds >= before.trial_at - ROUNDING_SECONDS:
+            observed = _after_trial(observed, result, now, rng)
     elif _should_eject(observed) and _above_floor(health, key, others, load):
         observed = _eject(observed, now, rng)
     health.observed[key] = observed
--- a/src/chervilstage/transport/capacity.py
+++ b/src/chervilstage/transport/capacity.py
@@ -310,8 +310,7 @@
         )
         now = anyio.current_time()
         return {
-            "upstreams_ready": sum(map(self.takes_work, records)),
-            "upstreams_leaving": sum(map(is_leaving, records)),
+            "upstreams_taking_work": sum(map(self.takes_work, records)),
             "upstreams_ejected": len(self.health.ejected() & keys),
             "upstreams_warming_owned": warming,
             "upstreams_unreachable": len(self.registry.unreachable),
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -64,7 +64,7 @@
         registry=registry,
         in_force=in_force,
         counters=counters,
-        unreachable=set(),
+        unreachable=registry.unreachable,
     )
     front_ends = FrontEnds(
         host=host,
