--- /dev/null
+++ b/testing/support/request_driver.py
@@ -0,0 +1,92 @@
+"""Requests through all entries at once, and the reports of stand-ins."""
+
+from __future__ import annotations
+
+import itertools
+import json
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import anyio
+
+from chervilstage.errors import ChervilstageError
+from chervilstage.state.types import Address
+from chervilstage.transport.http_client import http_request
+
+from .cell import Cell
+from .processes import unique_host
+
+REQUEST_PORT = 8001
+CONTROL_PORT = 7600
+NO_ANSWER = 0
+
+
+def start_standin(cell: Cell, data_centre: str, *options: str) -> str:
+    """Start a stand-in with a control port and return its host."""
+    host = unique_host()
+    cell.start_upstream(
+        "alley-desk",
+        data_centre,
+        "--host",
+        host,
+        "--control-port",
+        str(CONTROL_PORT),
+        *options,
+    )
+    return host
+
+
+def standin_report(host: str) -> dict[str, Any]:
+    """Return the counters of a stand-in."""
+    report: dict[str, Any] = json.loads(control(host, "GET", "/v1/report"))
+    return report
+
+
+def control(host: str, method: str, path: str, document: object = None) -> bytes:
+    """Call the control port of a stand-in and return the answer's body."""
+    body = b"" if document is None else json.dumps(document).encode()
+    address = Address(host=host, port=CONTROL_PORT)
+
+    async def call() -> bytes:
+        answer = await http_request(address, method, path, body=body)
+        assert answer.status in (200, 204), answer
+        return answer.body
+
+    return anyio.run(call)
+
+
+def drive(
+    hosts: Sequence[str],
+    callers: int,
+    enough: Callable[[Counter[int]], bool],
+    seconds: float = 30.0,
+) -> Counter[int]:
+    """Let callers send one request after another until there is enough.
+
+    :param enough: is given the number of answers by status; 0 is no answer.
+    :param seconds: a generous bound.
+    """
+    counts: Counter[int] = Counter()
+    turns = itertools.cycle(hosts)
+
+    async def caller(scope: anyio.CancelScope) -> None:
+        while not enough(counts):
+            address = Address(host=next(turns), port=REQUEST_PORT)
+            try:
+                answer = await http_request(address, "GET", "/alleys", timeout=2.0)
+                counts[answer.status] += 1
+            except ChervilstageError:
+                counts[NO_ANSWER] += 1
+                await anyio.sleep(0.05)
+        scope.cancel()
+
+    async def run() -> None:
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as group:
+                for _ in range(callers):
+                    group.start_soon(caller, group.cancel_scope)
+
+    anyio.run(run)
+    assert enough(counts), f"not within {seconds} s: {counts}"
+    return counts
