Ramp the flows of fresh upstreams and describe operation and metrics

The coordinator of views takes the share of an upstream from its ramp, so a fresh upstream and those of a data centre that is back get flows in steps. The operators' page has the procedures, exit codes and metrics; a test compares its metrics with the code.

--- a/src/chervilstage/coordination/view_rounds.py
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -8,6 +8,7 @@
 from ..state.view import BUCKETS, View, ViewId, changed_buckets
 from .flow_effects import FlowEffect, SendPeer
 from .flows import in_service
+from .ramp import flow_weight
 from .view import Weights, compute_view, must_move
 from .view_change import NO_VIEW, activate_view, prepare_view, view_moves
 
@@ -41,16 +42,20 @@
 
 
 def view_weights(state: FlowState) -> dict[str, dict[UpstreamId, float]]:
-    """Return the upstreams that may get new flows, by service.
+    """Return the upstreams that may get new flows and their shares, by service.
 
-    An upstream in a data centre that is cut off stays in the view.
+    The share of an upstream that has just started or whose data centre is back grows
+    in steps. An upstream in a data centre that is cut off stays in the view.
     """
     weights: dict[str, dict[UpstreamId, float]] = {}
     configuration = state.in_force.current
+    ramp_base = state.registry.ramp_base
     for service in state.tables:
         records = in_service(state.registry.of_service(service), configuration)
         weights[service] = {
-            record.identity: 1.0
+            record.identity: flow_weight(
+                record, ramp_base.get(record.identity.address, 0)
+            )
             for record in records
             if record.phase is UpstreamPhase.READY
         }
--- a/src/chervilstage/programs/ctl_reports.py
+++ b/src/chervilstage/programs/ctl_reports.py
@@ -31,8 +31,9 @@
 WATCH_SECONDS = 2.0
 GAUGES = (
     "flows_held",
-    "upstreams_ready",
-    "upstreams_warming",
+    "requests_in_flight",
+    "upstreams_taking_work",
+    "upstreams_warming_owned",
     "upstreams_leaving",
     "upstreams_ejected",
 )
--- a/testing/programs/test_documentation.py
+++ b/testing/programs/test_documentation.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from chervilstage import errors
+from chervilstage import errors, protocol
 from chervilstage.errors import ChervilstageError, error_types
 from chervilstage.protocol import documents, settings
 
@@ -58,7 +58,20 @@
     page = (DOCS / "operators.md").read_text()
     title = f"### {schema.__name__}"
     assert title in page
-    section = page.split(title, 1)[1].split("\n###", 1)[0]
+    section = page.split(title, 1)[1].split("\n##", 1)[0]
     assert set(re.findall(r"^\| `(\w+)` \|", section, re.MULTILINE)) == set(
         schema.__annotations__
     )
+
+
+def test_operators_page_explains_each_counter() -> None:
+    """Guards against an alarm that operators cannot look up."""
+    source = Path(protocol.__file__).parent.parent
+    pattern = re.compile(r'counters\.add\(\s*"([a-z_]+)"')
+    counted = {
+        name
+        for path in source.rglob("*.py")
+        for name in pattern.findall(path.read_text())
+    }
+    page = (DOCS / "operators.md").read_text().split("## Metrics and alarms", 1)[1]
+    assert counted - set(re.findall(r"`([a-z_]+)`", page)) == set()
