--- a/src/chervilstage/protocol/control_messages.py
+++ b/src/chervilstage/protocol/control_messages.py
@@ -73,7 +73,7 @@
 def encode_status(status: ProcessStatus) -> bytes:
     """Return the encoding of a status."""
     return pack(
-        schema("control").EntryStatus.new_message(
+        schema("control").ProcessStatus.new_message(
             revision=status.revision,
             gauges=[{"name": n, "value": v} for n, v in status.gauges.items()],
             group=_place_fields(status.group),
@@ -87,7 +87,7 @@
     :raises EnvelopeFormatError: the bytes are no status.
     """
     with reading():
-        message = unpack(schema("control").EntryStatus, data)
+        message = unpack(schema("control").ProcessStatus, data)
         return ProcessStatus(
             revision=message.revision,
             gauges={gauge.name: gauge.value for gauge in message.gauges},
--- a/src/chervilstage/protocol/schema/control.capnp
+++ b/src/chervilstage/protocol/schema/control.capnp
@@ -18,7 +18,7 @@
   value @1 :Float64;
 }
 
-struct EntryStatus {
+struct ProcessStatus {
   revision @0 :UInt64;
   gauges @1 :List(Gauge);
   group @2 :List(Place);
--- a/src/chervilstage/transport/control_daemon.py
+++ b/src/chervilstage/transport/control_daemon.py
@@ -44,7 +44,7 @@
     client = FrameClient(name=name, key=key, counters=counters)
     syncs = Histogram(
         "chervilstage_log_sync_seconds",
-        "Time for which a batch of the log has stalled the loop",
+        "Time for which a sync or a snapshot of the log has stalled the loop",
         buckets=SYNC_BUCKETS,
         registry=None,
     )
--- a/src/chervilstage/transport/log_store.py
+++ b/src/chervilstage/transport/log_store.py
@@ -39,7 +39,8 @@
 
     :param folder: the data folder.
     :param identity: the identity to take if the folder is blank.
-    :param observe: called with the seconds that each batch has stalled the loop.
+    :param observe: called with the seconds of each stall of the loop, by a sync or by
+        a snapshot.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
 
     def save_snapshot(self, snapshot: Snapshot, entries: Sequence[LogEntry]) -> None:
         """Replace the snapshot and the log; durable after ``sync``."""
+        started = time.perf_counter()
         number = max(self.meta.snapshot_number, self.meta.log_number) + 1
         path = self._snapshot_path(number)
         with path.open("wb") as file:
@@ -91,6 +93,7 @@
         self._rewrite(b"", [])
         for entry in entries:
             self._write(encode_log_entry(entry))
+        self.observe(time.perf_counter() - started)
 
     def sync(self) -> None:
         """Make all that was saved durable."""
--- a/src/chervilstage/transport/replica_formation.py
+++ b/src/chervilstage/transport/replica_formation.py
@@ -1,4 +1,4 @@
-"""The way of a replica with a blank disk into a set of replicas."""
+"""How a replica with a blank disk joins a set of replicas."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class ReplicaFormation:
-    """Greets the other replicas until this one belongs to a set.
+    """Exchanges hellos with the other replicas until this one belongs to a set.
 
     :param own: the name, data centre and address of this replica.
     :param listed: the replicas of the settings.
@@ -67,7 +67,7 @@
         self.driver.take(rejoin(replica, hello, replica_clock(), time.time()))
         return encode_hello(self.own_hello())
 
-    async def greet(self, address: Address) -> Hello:
+    async def exchange_hellos(self, address: Address) -> Hello:
         """Exchange hellos with another replica.
 
         :raises PeerUnreachableError: it does not answer.
@@ -83,7 +83,7 @@
 
         :raises MembersChangeError: another replica answers, or one with a log.
         """
-        hello = await self.greet(address)
+        hello = await self.exchange_hellos(address)
         if hello.name != name:
             raise MembersChangeError(reason=f"{hello.name} answers in place of {name}")
         if hello.formed:
@@ -97,10 +97,10 @@
         )
 
     async def join(self) -> None:
-        """Greet the other replicas until this one belongs to a set."""
+        """Exchange hellos with the other replicas until this one belongs to a set."""
         names = [peer.name for peer in self.others]
         while not self.driver.replica.is_formed():
-            answers = [h for p in self.others if (h := await self.try_greet(p))]
+            answers = [h for p in self.others if (h := await self.try_hello(p))]
             if may_form(self.own_hello(), names, answers):
                 members = [*answers, self.own_hello()]
                 self.driver.take(form(self.driver.replica, members))
@@ -109,15 +109,15 @@
             await anyio.sleep(REPEAT_SECONDS * (1.0 + self.rng.random()))
         log_event("replica_joined")
 
-    async def try_greet(self, peer: Peer) -> Hello | None:
+    async def try_hello(self, peer: Peer) -> Hello | None:
         """Exchange hellos with a replica, if it answers."""
         try:
-            return await self.greet(peer.address)
+            return await self.exchange_hellos(peer.address)
         except ChervilstageError:
             return None
 
     async def start(self, group: TaskGroup) -> None:
-        """Begin to greet if this replica belongs to no set."""
+        """Begin to join if this replica belongs to no set."""
         if not self.driver.replica.is_formed():
             group.start_soon(self.join)
 
--- a/testing/coordination/test_replica.py
+++ b/testing/coordination/test_replica.py
@@ -149,7 +149,7 @@
         self.cell.frozen.clear()
 
     @rule(loss=st.sampled_from([0.0, 0.1, 0.4]), delay=st.sampled_from([0.02, 0.6]))
-    def weather(self, loss: float, delay: float) -> None:
+    def vary_network(self, loss: float, delay: float) -> None:
         """Set loss and delay of the network."""
         self.cell.network.loss, self.cell.network.delay = loss, delay
 
--- a/testing/support/replica_fakes.py
+++ b/testing/support/replica_fakes.py
@@ -207,7 +207,7 @@
                 node.pending += tick(replica, now, self.rng)
                 node.pending += promote_learner(replica, now, self.now)
                 if not replica.is_formed():
-                    self.greet(node, replica)
+                    self.exchange_hellos(node, replica)
                 self.flush(node)
             if self.checks:
                 self.check()
@@ -303,7 +303,7 @@
         """Tell whether two replicas are cut off from each other."""
         return frozenset((node.name, other.name)) in self.network.cuts
 
-    def greet(self, node: Node, replica: Replica) -> None:
+    def exchange_hellos(self, node: Node, replica: Replica) -> None:
         """Exchange hellos with the replicas that can be reached."""
         own = self.hello(node, replica)
         answers = []
--- a/testing/support/replica_faults.py
+++ b/testing/support/replica_faults.py
@@ -81,7 +81,7 @@
             (14, self.heal),
             (3, self.freeze),
             (12, self.resume),
-            (3, self.weather),
+            (3, self.vary_network),
             (5, self.hand_over),
         ]
         weights = [weight for weight, _ in actions]
@@ -145,7 +145,7 @@
         """Resume all frozen replicas."""
         self.cell.frozen.clear()
 
-    def weather(self) -> None:
+    def vary_network(self) -> None:
         """Set the loss and the delay of the network."""
         self.cell.network.loss = self.rng.choice([0.0, 0.0, 0.2])
         self.cell.network.delay = self.rng.choice([0.02, 0.02, 0.02, 0.3, 1.0])
