Shed requests that would be answered too late, and let restarts vote a group on

The limit of the wait now leaves one and a half times the smoothed work.

Two entries of four that restart at once left no majority of the epoch's runs, for good. A later run proves that the earlier one has ended, so the others decide by a majority of themselves that meets every majority of all. Ruled out: counting an entry that is only silent as ended.

--- a/bench/request_simulation.py
+++ b/bench/request_simulation.py
@@ -14,7 +14,7 @@
 from random import Random
 from typing import NamedTuple
 
-from chervilstage.coordination.admission import admit_request, note_permit
+from chervilstage.coordination.admission import admit_request, note_permit, note_work
 from chervilstage.coordination.retry_policy import (
     BUDGET_LIMIT,
     note_first_attempt,
@@ -137,7 +137,10 @@
             return
         extra = min(self.debt, MOST_DEBT_PER_WORK)
         self.debt -= extra
-        self.at(self.now + WORK_SECONDS + extra, lambda: self.done(request))
+        self.at(
+            self.now + WORK_SECONDS + extra,
+            lambda: self.done(request, WORK_SECONDS + extra),
+        )
 
     def refused(self, request: SimulatedRequest) -> None:
         """Retry a refused request as far as the policy allows."""
@@ -154,9 +157,13 @@
             self.fail(request)
         self.serve_queue()
 
-    def done(self, request: SimulatedRequest) -> None:
-        """Take an answer, which may come too late."""
+    def done(self, request: SimulatedRequest, seconds: float) -> None:
+        """Take an answer, which may come too late.
+
+        :param seconds: how long the work took.
+        """
         self.permits += 1
+        note_work(self.load, seconds)
         if self.now <= request.deadline:
             self.answered.append(self.now)
         else:
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -30,6 +30,7 @@
 )
 
 from .figures import Figure
+from .request_overload import measure_overload
 from .request_simulation import Overload, Variant
 
 LAYOUT = ["gl-erie", "gl-erie", "gl-huron", "gl-huron"]
@@ -57,6 +58,7 @@
 def measure() -> Iterator[Figure]:
     """Yield all figures."""
     yield from measure_runs()
+    yield from measure_overload()
     for name, variant in VARIANTS.items():
         runs = [Overload(variant=variant, seed=seed) for seed in SEEDS]
         for run in runs:
--- a/src/chervilstage/coordination/admission.py
+++ b/src/chervilstage/coordination/admission.py
@@ -11,6 +11,9 @@
 # A request that waits longer than this share of its deadline leaves too little time
 # to be answered; it is refused at once, while its caller can still go elsewhere.
 WAIT_SHARE = 0.5
+# An attempt takes up to this many times its smoothed duration; a request that waits
+# into that time is answered too late, and its slot is wasted.
+WORK_MARGIN = 1.5
 SMOOTHING = 0.1
 
 
@@ -29,7 +32,8 @@
     :param left: seconds until the caller's deadline.
     :raises OverloadedError: it would wait too long for an answer in time.
     """
-    limit = left * WAIT_SHARE
+    spare = left - WORK_MARGIN * load.work_seconds
+    limit = max(0.0, min(left * WAIT_SHARE, spare))
     expected = load.waiting * load.interval
     if load.waiting >= MAXIMUM_WAITING or expected > limit:
         raise OverloadedError(service=service, waiting=load.waiting)
@@ -42,3 +46,8 @@
         gap = min(now - load.granted_at, 1.0)
         load.interval += SMOOTHING * (gap - load.interval)
     load.granted_at = now
+
+
+def note_work(load: RequestLoad, seconds: float) -> None:
+    """Take note of how long an answered attempt took."""
+    load.work_seconds += SMOOTHING * (seconds - load.work_seconds)
--- a/src/chervilstage/coordination/epoch_agreement.py
+++ b/src/chervilstage/coordination/epoch_agreement.py
@@ -77,8 +77,10 @@
     proposal without hearing that it was chosen. The first epoch waits for a majority
     of the configured entries.
     """
+    live = list(live)
     wanted = tuple(sorted(staying))
-    voters = set(_voters(state))
+    _note_ended(state, live)
+    voters = set(_voters(state)) - {m.name for m in state.ended}
     present = sorted(m.name for m in live if m.name in voters)
     unchanged = set(wanted) == set(state.current.members)
     if not wanted or (unchanged and not state.accepted):
@@ -181,6 +183,7 @@
     state.proposed = None
     state.marks = set()
     state.adopted_at = now
+    state.ended &= set(epoch.members)
     mark_received(state, state.own.name)
     return [EpochAdopted(epoch=epoch)]
 
@@ -212,6 +215,13 @@
     return state.current.number == 0 or state.is_member()
 
 
+def _note_ended(state: EpochState, live: Iterable[EpochMember]) -> None:
+    for run in live:
+        earlier = state.current.member(run.name)
+        if earlier is not None and earlier.incarnation < run.incarnation:
+            state.ended.add(earlier)
+
+
 def _voters(state: EpochState) -> list[str]:
     if state.current.number:
         return [m.name for m in state.current.members]
@@ -219,8 +229,17 @@
 
 
 def _is_majority(state: EpochState, names: Iterable[str]) -> bool:
+    """Tell whether voters can decide.
+
+    A later run of an entry proves that its earlier one casts no further vote. The
+    others decide by a majority of themselves that meets every majority of all voters,
+    so that two entries that restart at once do not stop a group of four.
+    """
     voters = _voters(state)
-    return len(set(names) & set(voters)) * 2 > len(voters)
+    ended = {m.name for m in state.ended & set(state.current.members)}
+    votes = len((set(names) & set(voters)) - ended)
+    majority = len(voters) // 2 + 1
+    return votes * 2 > len(voters) - len(ended) and votes > len(voters) - majority
 
 
 def _to_voters(
--- a/src/chervilstage/state/epoch.py
+++ b/src/chervilstage/state/epoch.py
@@ -136,7 +136,8 @@
     """What one run of an entry knows and has promised about epochs.
 
     ``marks`` are the members whose records have been received in full under the
-    current epoch; ``settled`` is the newest epoch for which all were.
+    current epoch; ``settled`` is the newest epoch for which all were. ``ended`` are
+    members that a later run of the same entry has followed.
 
     :param own: this run of this entry.
     :param configured: the names of all entries of the group.
@@ -154,6 +155,7 @@
         self.accepts: set[str] = set()
         self.marks: set[str] = set()
         self.settled = 0
+        self.ended: set[EpochMember] = set()
         self.peers_settled: dict[str, int] = {}
         self.adopted_at = float("-inf")
 
--- a/src/chervilstage/state/request_load.py
+++ b/src/chervilstage/state/request_load.py
@@ -6,7 +6,8 @@
 class RequestLoad:
     """What a service has in flight and waiting, and how fast permits come.
 
-    ``interval`` is the smoothed time in seconds between permits while requests wait.
+    ``interval`` is the smoothed time in seconds between permits while requests wait,
+    ``work_seconds`` that of an attempt from its permit to its end.
     """
 
     def __init__(self) -> None:
@@ -15,6 +16,7 @@
         self.in_flight = 0
         self.feeds = 0
         self.interval = 0.0
+        self.work_seconds = 0.0
         self.granted_at = float("-inf")
 
 
--- a/src/chervilstage/transport/service_requests.py
+++ b/src/chervilstage/transport/service_requests.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ..coordination.admission import admit_request, note_permit
+from ..coordination.admission import admit_request, note_permit, note_work
 from ..coordination.retry_policy import (
     BUDGET_LIMIT,
     note_first_attempt,
@@ -112,6 +112,8 @@
         """Give a permit back."""
         seconds = anyio.current_time() - permit.granted_at
         self.load.in_flight -= 1
+        if result is AttemptResult.SUCCEEDED:
+            note_work(self.load, seconds)
         self.capacity.release(permit=permit, result=result, seconds=seconds)
 
     async def acquire(self, excluded: frozenset[Address], deadline: float) -> Permit:
--- a/testing/coordination/test_record_guards.py
+++ b/testing/coordination/test_record_guards.py
@@ -263,6 +263,13 @@
         receive_epoch(state, "b2", accepted, 0.0)
         self.assertThat(state.current.number, Equals(7))
 
+    def test_two_restarted_entries_do_not_stop_four(self) -> None:
+        state, again = state_of(A1, EPOCH), (run_of("b1", 2), run_of("b2", 2))
+        wanted = (A1, A2, *again)
+        self.assertThat(next_members(state, wanted, wanted), Equals(wanted))
+        alone = (A1, *again)
+        self.assertThat(next_members(state_of(A1, EPOCH), alone, alone), Equals(None))
+
     def test_accepted_proposal_outlives_its_proposer(self) -> None:
         voters = {m.name: state_of(m, EPOCH) for m in GROUP}
         first = voters["a1"]
--- a/testing/coordination/test_record_ownership.py
+++ b/testing/coordination/test_record_ownership.py
@@ -5,8 +5,16 @@
 from collections import Counter
 
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from chervilstage.coordination.record_ownership import holders
+from chervilstage.state.epoch import Epoch
 from chervilstage.state.outcomes import Answered, NotRun
 from chervilstage.state.request_records import RequestKey
 from testing.support.request_fakes import World
@@ -14,9 +22,11 @@
 LAYOUT = {"a1": "gl-erie", "a2": "gl-erie", "b1": "gl-huron", "b2": "gl-huron"}
 WIDE = {**LAYOUT, "a3": "gl-erie"}
 ENTRIES = st.integers(0, 4)
-FATES = st.sampled_from(["run", "run", "run", "refuse", "lose answer", ""])
-PAUSES = st.sampled_from([0.0, 0.5, 1.5, 3.0, 6.0])
-SIDES = st.sampled_from([("a1",), ("a1", "a2"), ("a1", "b1"), ("b2",), ("a2", "a3")])
+FATES = st.sampled_from(["run", "run", "run", "refuse", "lose answer", "give up", ""])
+PAUSES = st.sampled_from([0.0, 0.5, 1.5, 3.0])
+FAULTS = st.sampled_from(["", "", "lose", "freeze", "cut", "restart"])
+TARGETS = st.sampled_from(["owner", "owner", "second", "second", "both", "others"])
+REPAIR_SECONDS = st.sampled_from([0.5, 6.0, 6.0])
 
 
 class OwnershipMachine(RuleBasedStateMachine):
@@ -30,37 +40,77 @@
         self.world.advance(6.0)
 
     @rule(
-        home=st.sampled_from(["gl-erie", "gl-huron"]),
+        home=st.sampled_from(["gl-erie", "gl-erie", "gl-huron"]),
         entry=ENTRIES,
         fate=FATES,
         ahead_ms=st.sampled_from([0, 0, 1900]),
+        before=FAULTS,
+        struck=TARGETS,
     )
-    def first_attempt(self, home: str, entry: int, fate: str, ahead_ms: int) -> None:
+    def first_attempt(
+        self,
+        home: str,
+        entry: int,
+        fate: str,
+        ahead_ms: int,
+        before: str,
+        struck: str,
+    ) -> None:
         stamp_ms = self.world.now_ms() + ahead_ms
         text = f"v1.{stamp_ms}.{home}.{len(self.keys)}"
         self.keys.append(RequestKey(text=text, stamp_ms=stamp_ms, home=home))
+        self.cause(before, struck)
         self.ask(self.keys[-1], entry, fate)
 
-    @rule(position=st.integers(0, 3), entry=ENTRIES, fate=FATES)
+    @precondition(lambda self: bool(self.keys))
+    @rule(position=st.sampled_from([0, 0, 0, 1, 2]), entry=ENTRIES, fate=FATES)
     def retry(self, position: int, entry: int, fate: str) -> None:
-        if self.keys:
-            key = self.keys[-1 - position % len(self.keys)]
-            pending = self.world.asks.get(key.text)
-            if pending and self.world.now < pending.expires:
-                self.world.advance(pending.expires - self.world.now)
-            self.ask(key, entry, fate)
+        key = self.keys[-1 - position % len(self.keys)]
+        pending = self.world.asks.get(key.text)
+        if pending and self.world.now < pending.expires:
+            self.world.advance(pending.expires - self.world.now)
+        self.ask(key, entry, fate)
 
     def ask(self, key: RequestKey, entry: int, fate: str) -> None:
+        names = sorted(self.world.layout)
         self.attempts[key.text] += 1
-        self.world.ask(key, self.attempts[key.text], self.name(entry))
+        self.world.ask(key, self.attempts[key.text], names[entry % len(names)])
         self.world.deliver()
-        if fate:
+        if fate == "give up":
+            for copier in self.world.entries.values():
+                if not copier.frozen:
+                    self.world.give_up_copies(copier)
+        elif fate:
             self.world.upstream(fate)
-            self.world.deliver()
+        self.world.deliver()
 
-    def name(self, position: int) -> str:
-        names = sorted(self.world.layout)
-        return names[position % len(names)]
+    @precondition(lambda self: bool(self.keys))
+    @rule(fault=FAULTS, struck=TARGETS, seconds=PAUSES)
+    def fault(self, fault: str, struck: str, seconds: float) -> None:
+        self.cause(fault, struck)
+        self.world.advance(seconds)
+
+    def cause(self, fault: str, struck: str) -> None:
+        """Strike holders of the last key, by the widest epoch that is in force."""
+        world = self.world
+        known = (e.state.current for e in world.entries.values())
+        epoch = max(known, key=lambda e: len(e.members), default=Epoch())
+        found = holders(epoch, self.keys[-1])
+        names = [m.name for m in found or () if m] or sorted(world.layout)[:2]
+        if struck == "others":
+            names = sorted(set(world.layout) - set(names))
+        elif struck != "both":
+            names = names[:1] if struck == "owner" else names[-1:]
+        for name in names:
+            if fault == "lose":
+                world.entries.pop(name, None)
+            elif fault == "restart":
+                world.start(name)
+            elif fault == "freeze" and name in world.entries:
+                world.entries[name].frozen = True
+        if fault == "cut":
+            rest = set(world.layout) - set(names)
+            world.cut |= {frozenset((a, b)) for a in names for b in rest}
 
     @rule(fate=FATES)
     def upstream(self, fate: str) -> None:
@@ -71,49 +121,17 @@
     def advance(self, seconds: float) -> None:
         self.world.advance(seconds)
 
-    @rule(entry=ENTRIES, seconds=PAUSES)
-    def lose(self, entry: int, seconds: float) -> None:
-        self.world.entries.pop(self.name(entry), None)
-        self.world.advance(seconds)
-
-    @rule(entry=ENTRIES, seconds=PAUSES)
-    def restart(self, entry: int, seconds: float) -> None:
-        self.world.start(self.name(entry))
-        self.world.advance(seconds)
-
-    @rule(first=ENTRIES, second=ENTRIES, seconds=PAUSES)
-    def freeze(self, first: int, second: int, seconds: float) -> None:
-        for position in (first, second):
-            if entry := self.world.entries.get(self.name(position)):
-                entry.frozen = True
-        self.world.advance(seconds)
-
-    @rule(entry=ENTRIES)
-    def resume(self, entry: int) -> None:
-        if frozen := self.world.entries.get(self.name(entry)):
-            frozen.frozen = False
-            self.world.deliver()
-
-    @rule(entry=ENTRIES)
-    def give_up_copies(self, entry: int) -> None:
-        if (found := self.world.entries.get(self.name(entry))) and not found.frozen:
-            self.world.give_up_copies(found)
-
-    @rule(side=SIDES, seconds=PAUSES)
-    def cut(self, side: tuple[str, ...], seconds: float) -> None:
-        rest = set(self.world.layout) - set(side)
-        self.world.cut |= {frozenset((a, b)) for a in side for b in rest}
-        self.world.advance(seconds)
-
-    @rule(seconds=PAUSES)
-    def repair_all(self, seconds: float) -> None:
-        self.world.cut.clear()
-        for name in self.world.layout:
-            if name in self.world.entries:
-                self.world.entries[name].frozen = False
-            else:
-                self.world.start(name)
-        self.world.advance(seconds)
+    @rule(seconds=REPAIR_SECONDS, restart=st.sampled_from([True, True, False]))
+    def repair(self, seconds: float, restart: bool) -> None:
+        world = self.world
+        world.cut.clear()
+        for name in world.layout:
+            if name in world.entries:
+                world.entries[name].frozen = False
+            elif restart:
+                world.start(name)
+        world.deliver()
+        world.advance(seconds)
 
     @invariant()
     def work_runs_at_most_once(self) -> None:
