--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -53,14 +53,19 @@
     )
     membership = Membership(table=members, link=link)
     capacity = UpstreamCapacity(
-        registry=registry, configuration=lambda: in_force.current, rng=Random()
+        registry=registry,
+        configuration=lambda: in_force.current,
+        members=members,
+        link=link,
+        counters=counters,
+        rng=Random(),
     )
     flows = FlowState(
         members=members,
         registry=registry,
         in_force=in_force,
         counters=counters,
-        unreachable=set(),
+        unreachable=registry.unreachable,
     )
     drain_seconds = settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
     requests = RequestService(
@@ -97,6 +102,7 @@
         revision = in_force.current.revision
         members.report = members.report._replace(revision=revision)
         front_ends.reconcile()
+        capacity.on_configuration()
         end_flows_out(flows)
 
     own = Peer(name=name, data_centre=settings["data_centre"], address=peer_address)
@@ -122,6 +128,7 @@
             "members_live": len(members.live()),
             **phase_gauges(registry),
             **requests.gauges(),
+            **capacity.gauges(),
         }
 
     serve_explanations(frame_server, flows)
@@ -141,6 +148,7 @@
         link,
         flow_link,
         membership,
+        capacity,
         front_ends,
         registration,
         client,
