--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -11,10 +11,12 @@
 from ..state.in_force import ConfigurationInForce
 from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry
-from ..state.types import Address
+from ..state.types import Address, Peer
 from .application import DEFAULT_DRAIN_SECONDS, Application
 from .capacity import UpstreamCapacity
 from .configuration_client import ConfigurationClient
+from .entry_status import phase_gauges, serve_entry_status
+from .flow_explanations import serve_explanations
 from .flow_link import FlowLink
 from .frame_channel import FrameClient, FrameServer
 from .front_ends import FrontEnds
@@ -22,6 +24,7 @@
 from .metrics import metrics_hooks
 from .peer_link import PeerLink
 from .registration import Registration
+from .request_service import RequestService
 
 
 def build_entry(settings: EntrySettings, key: bytes) -> Application:
@@ -50,20 +53,36 @@
     )
     membership = Membership(table=members, link=link)
     capacity = UpstreamCapacity(
-        registry=registry, configuration=lambda: in_force.current, rng=Random()
+        registry=registry,
+        configuration=lambda: in_force.current,
+        members=members,
+        link=link,
+        counters=counters,
+        rng=Random(),
     )
     flows = FlowState(
         members=members,
         registry=registry,
         in_force=in_force,
         counters=counters,
-        unreachable=set(),
+        unreachable=registry.unreachable,
+    )
+    drain_seconds = settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
+    requests = RequestService(
+        in_force=in_force,
+        counters=counters,
+        capacity=capacity,
+        membership=membership,
+        link=link,
+        frames=frames,
+        server=frame_server,
+        drain_seconds=drain_seconds,
     )
     front_ends = FrontEnds(
         host=host,
         in_force=in_force,
         counters=counters,
-        capacity=capacity,
+        requests=requests,
         flows=flows,
     )
     flow_link = FlowLink(state=flows, link=link, release=front_ends.release)
@@ -73,21 +92,30 @@
         registry=registry,
         configuration=front_ends.configuration,
         link=link,
+        members=members,
         counters=counters,
+        rng=Random(),
     )
+    membership.listeners.append(registration.on_member_event)
 
     def on_configuration() -> None:
         revision = in_force.current.revision
         members.report = members.report._replace(revision=revision)
         front_ends.reconcile()
+        capacity.on_configuration()
         end_flows_out(flows)
 
+    own = Peer(name=name, data_centre=settings["data_centre"], address=peer_address)
     client = ConfigurationClient(
+        own=own,
         replicas=peers_of(settings.get("replicas", [])),
         frames=frames,
+        frame_server=frame_server,
+        members=members,
         in_force=in_force,
         on_change=on_configuration,
     )
+    membership.listeners.append(client.notice)
 
     def gauges() -> dict[str, float]:
         return {
@@ -98,11 +126,15 @@
             "revision_in_force": in_force.current.revision,
             "upstreams_registered": len(registry.records),
             "members_live": len(members.live()),
+            **phase_gauges(registry),
+            **requests.gauges(),
+            **capacity.gauges(),
         }
 
-    app = Application(
-        name=name, drain_seconds=settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
-    )
+    serve_explanations(frame_server, flows)
+    serve_entry_status(frame_server, in_force, gauges, client.group)
+
+    app = Application(name=name, drain_seconds=drain_seconds)
     app.add(
         metrics_hooks(
             address=Address(host=host, port=settings["metrics_port"]),
@@ -116,9 +148,11 @@
         link,
         flow_link,
         membership,
+        capacity,
         front_ends,
         registration,
         client,
+        requests,
     )
     for part in parts:
         app.add(part.hooks())
