--- a/src/chervilstage/coordination/admission.py
+++ b/src/chervilstage/coordination/admission.py
@@ -8,9 +8,10 @@
 MAXIMUM_CONNECTIONS = 2_000
 MAXIMUM_FEEDS = 2_000
 MAXIMUM_WAITING = 512
-# A request that waits longer than this share of its deadline leaves too little time
-# to be answered; it is refused at once, while its caller can still go elsewhere.
-WAIT_SHARE = 0.5
+# The greatest share of its deadline that a request may wait. In overload the queue is
+# always as long as it may be, and a longer one answers no more requests but all later;
+# what would wait longer is refused at once, while its caller can still go elsewhere.
+WAIT_SHARE = 0.2
 # An attempt takes up to this many times its smoothed duration; a request that waits
 # into that time is answered too late, and its slot is wasted.
 WORK_MARGIN = 1.5
--- a/src/chervilstage/transport/answer_relay.py
+++ b/src/chervilstage/transport/answer_relay.py
@@ -142,4 +142,4 @@
         """Give the permit back, once."""
         if self.holds_permit:
             self.holds_permit = False
-            self.requests.release(self.exchange.permit, result)
+            self.requests.release(self.exchange.permit, result, self.is_feed)
--- a/src/chervilstage/transport/service_requests.py
+++ b/src/chervilstage/transport/service_requests.py
@@ -108,11 +108,16 @@
             if result is not None:
                 self.release(permit, result)
 
-    def release(self, permit: Permit, result: AttemptResult) -> None:
-        """Give a permit back."""
+    def release(
+        self, permit: Permit, result: AttemptResult, is_feed: bool = False
+    ) -> None:
+        """Give a permit back.
+
+        :param is_feed: the answer goes on; its duration says nothing of the work.
+        """
         seconds = anyio.current_time() - permit.granted_at
         self.load.in_flight -= 1
-        if result is AttemptResult.SUCCEEDED:
+        if result is AttemptResult.SUCCEEDED and not is_feed:
             note_work(self.load, seconds)
         self.capacity.release(permit=permit, result=result, seconds=seconds)
 
