--- a/src/chervilstage/coordination/admission.py
+++ b/src/chervilstage/coordination/admission.py
@@ -19,11 +19,11 @@
 
 
 def admit_connection(load: RequestLoad, service: str) -> None:
-    """Check that a service may have another connection.
+    """Check that a service may have its newest connection, which is counted already.
 
-    :raises ConnectionLimitError: it has as many as it may have.
+    :raises ConnectionLimitError: it has more than it may have.
     """
-    if load.connections >= MAXIMUM_CONNECTIONS:
+    if load.connections > MAXIMUM_CONNECTIONS:
         raise ConnectionLimitError(service=service, limit=MAXIMUM_CONNECTIONS)
 
 
--- a/src/chervilstage/protocol/epoch_messages.py
+++ b/src/chervilstage/protocol/epoch_messages.py
@@ -20,7 +20,7 @@
     EpochSettled,
     Floor,
 )
-from .schemas import pack, schema, unpack
+from .schemas import pack, reading, schema, unpack
 
 KINDS: dict[type[EpochMessage], str] = {
     EpochPrepare: "prepare",
@@ -53,6 +53,7 @@
     return pack(encoded)
 
 
+@reading()
 def decode_epoch_message(data: bytes) -> EpochMessage:
     """Decode a message.
 
--- a/src/chervilstage/protocol/request_messages.py
+++ b/src/chervilstage/protocol/request_messages.py
@@ -21,7 +21,7 @@
     RequestKey,
     RequestRecord,
 )
-from .schemas import pack, schema, unpack
+from .schemas import pack, reading, schema, unpack
 
 
 class NotOwner(NamedTuple):
@@ -49,6 +49,7 @@
     return pack(message)
 
 
+@reading()
 def decode_push(data: bytes) -> RecordPush:
     """Decode records of another entry.
 
@@ -64,6 +65,7 @@
     return pack(schema("requests").Taken.new_message(taken=taken))
 
 
+@reading()
 def decode_taken(data: bytes) -> bool:
     """Decode an acknowledgement.
 
@@ -89,6 +91,7 @@
     return pack(message)
 
 
+@reading()
 def decode_relayed(data: bytes) -> RelayedRequest:
     """Decode a relayed request.
 
@@ -127,6 +130,7 @@
     return pack(message)
 
 
+@reading()
 def decode_relay_answer(data: bytes) -> Outcome | NotOwner:
     """Decode the outcome of a relayed request.
 
