--- a/src/chervilstage/transport/http_front.py
+++ b/src/chervilstage/transport/http_front.py
@@ -28,7 +28,7 @@
 )
 from ..state.configuration import Service, idempotent_by_rules
 from ..state.counters import Counters
-from ..state.outcomes import Answered, KeyedRequest, Outcome
+from ..state.outcomes import Answered, KeyedRequest, NotRun, Outcome
 from .answer_relay import AnswerRelay
 from .caller_watch import unless_caller_leaves
 from .event_log import log_event
@@ -231,8 +231,11 @@
             self.counters.add("requests_answered", self.service.name)
         else:
             self.counters.add("request_outcomes", f"{self.service.name} {kind}")
+            # Refusals in an overload come by the thousand; the counters tell of them.
+            level = logging.DEBUG if isinstance(outcome, NotRun) else logging.WARNING
             log_event(
                 "request_not_answered",
+                level=level,
                 service=self.service.name,
                 outcome=kind,
                 reason=outcome.reason,
