--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -276,6 +276,22 @@
         self.assertThat(group.broken, Equals([]))
         self.assertThat(group.foreign, Equals(0))
 
+    def test_resumed_entry_asks_before_its_first_timer_runs(self) -> None:
+        group = started_group(6)
+        leaving = next(iter(group.records.values())).identity
+        group.nodes["e3"].frozen = True
+        group.add_upstream(
+            SERVICES[0], leaving.address.port, phase=UpstreamPhase.LEAVING
+        )
+        group.run(4.0)
+        group.nodes["e3"].frozen = False
+        for flow in range(200):
+            group.packet("e3", SERVICES[0], flow)
+        group.thaw("e3")
+        self.assertTrue(group.settle())
+        self.assertThat(group.late_placements, Equals([]))
+        self.assertThat(group.first, HasLength(200))
+
     def test_confirmed_exception_outlives_the_idle_time(self) -> None:
         group = started_group(5)
         group.packet("e2", SERVICES[0], 7)
--- /dev/null
+++ b/testing/protocol/test_flow_encoding.py
@@ -0,0 +1,89 @@
+"""Encodings on the path of packets and between entries."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from chervilstage.errors.access import EnvelopeFormatError
+from chervilstage.protocol.flow_messages import (
+    KINDS,
+    decode_flow_message,
+    encode_flow_message,
+)
+from chervilstage.protocol.proxy_header import (
+    PREFIX_BYTES,
+    encode_header,
+    header_writer,
+    packed_address,
+    packed_caller,
+    unpacked_address,
+)
+from chervilstage.state.flow_messages import ListPage, PinItem, PinQuery
+from chervilstage.state.types import Address, UpstreamId
+from chervilstage.state.view import ViewId
+
+ADDRESSES = st.builds(
+    lambda octets, port: Address(host=".".join(map(str, octets)), port=port),
+    st.tuples(*[st.integers(0, 255)] * 4),
+    st.integers(0, 65_535),
+)
+UPSTREAM = UpstreamId(
+    address=Address(host="10.0.0.1", port=9), incarnation=7, service="alley-desk"
+)
+ITEMS = st.lists(
+    st.builds(
+        PinItem,
+        key=st.integers(0, 2**50 - 1),
+        upstream=st.just(UPSTREAM),
+        number=st.integers(0, 2**31),
+        pinned=st.booleans(),
+    ),
+    max_size=20,
+    unique_by=lambda item: item.key,
+).map(lambda items: tuple(sorted(items)))
+
+
+class EncodingTests(TestCase):
+    """Guards against headers or messages that differ from what they stand for."""
+
+    @given(ADDRESSES, ADDRESSES)
+    def test_header_has_the_bytes_of_the_library(
+        self, caller: Address, front_end: Address
+    ) -> None:
+        packed = packed_address(*caller)
+        header = header_writer(front_end)(packed)
+        self.assertThat(header, Equals(encode_header(caller, front_end)))
+        prefix = header[:PREFIX_BYTES]
+        self.assertThat(packed_caller(header + b"x", prefix), Equals(packed))
+        self.assertThat(unpacked_address(packed), Equals(tuple(caller)))
+
+    @given(ITEMS)
+    def test_messages_with_pins_survive_the_wire(
+        self, items: tuple[PinItem, ...]
+    ) -> None:
+        query = PinQuery(query=3, service="alley-desk", items=items, adopt=True)
+        page = ListPage(
+            view=ViewId(number=4, coordinator="e1"),
+            service="alley-desk",
+            early=True,
+            done=(3, 4, 5, 1, 2),
+            known_of=("e2",),
+            partial=-1,
+            after=0,
+            items=items,
+        )
+        for message in (query, page):
+            data = encode_flow_message(message)
+            decoded = decode_flow_message(KINDS[type(message)], data)
+            ordered = decoded._replace(items=tuple(sorted(decoded.items)))  # type: ignore[union-attr,call-arg,arg-type]
+            self.assertThat(ordered, Equals(message))
+
+    @given(st.binary(max_size=60), st.sampled_from(sorted(KINDS.values())))
+    def test_foreign_bytes_raise_a_typed_error(self, data: bytes, kind: int) -> None:
+        chosen = next(k for k in KINDS.values() if k == kind)
+        try:
+            decode_flow_message(chosen, data)
+        except EnvelopeFormatError:
+            return
