--- a/testing/coordination/test_record_guards.py
+++ b/testing/coordination/test_record_guards.py
@@ -24,7 +24,7 @@
     EpochState,
     Floor,
 )
-from chervilstage.state.outcomes import NotRun, Unknown
+from chervilstage.state.outcomes import Answered, NotRun, Unknown
 from chervilstage.state.request_records import (
     Answer,
     RecordPhase,
@@ -206,6 +206,15 @@
         ownership.merge_record(table, record_of(key, RecordPhase.OPEN, epoch=9))
         self.assertThat(table.records[key.text].answer, Equals(ANSWER))
 
+    def test_finished_record_answers_the_next_attempt(self) -> None:
+        key = key_of(A1, EPOCH)
+        record = record_of(key, RecordPhase.SENT)
+        table = table_of(record)
+        ownership.finish_record(table, record, ANSWER)
+        decision = begin(state_of(A2, EPOCH), table, key)
+        assert isinstance(decision, ownership.Finish)
+        self.assertThat(decision.outcome, Equals(Answered(answer=ANSWER)))
+
     def test_reopened_record_keeps_its_epoch(self) -> None:
         record = record_of(key_of(A1, EPOCH), RecordPhase.SENT, epoch=6)
         opened = ownership.reopen(table_of(record), record)
