--- a/demo/run.sh
+++ b/demo/run.sh
@@ -4,7 +4,6 @@
 # an entry leaves, and a data centre is taken out and brought back.
 #
 # BIN is the folder of the Python environment. DEMO_KEEP=1 keeps the temporary folder.
-# DEMO_COLD=1 starts the upstreams cold, so that promise 3 is tested too.
 # Exits with the verdict of the load tool: non-zero where a promise broke.
 set -euo pipefail
 
@@ -193,7 +192,7 @@
     --entry "${ENTRIES[${entries[0]}]}:$PLATFORM_PORT" \
     --entry "${ENTRIES[${entries[1]}]}:$PLATFORM_PORT" \
     --control-port $STANDIN_CONTROL_PORT --linger-seconds 60 \
-    --counters-file "$FOLDER/upstream-$number.json" ${DEMO_COLD:+--cold}
+    --counters-file "$FOLDER/upstream-$number.json" --cold
   cat >>"$FOLDER/standins.toml" <<TOML
 
 [[standins]]
