--- a/testing/support/request_calls.py
+++ b/testing/support/request_calls.py
@@ -120,12 +120,3 @@
                 lambda e=entry, h=home: book(e.host, new_key(h), 1).status == 200,  # type: ignore[misc]
                 f"bookings of {home} through {entry.name}",
             )
-
-
-def wait_keys(cell: Cell) -> None:
-    """Wait until keys made now are above the floor, before there are upstreams."""
-    for entry in cell.entries:
-        wait_until(
-            lambda e=entry: b"no upstream" in book(e.host, new_key(e.data_centre)).body,  # type: ignore[misc]
-            f"new keys of {entry.data_centre} through {entry.name}",
-        )
