Measure fresh upstreams, leaving, balance of requests and ejection

upstreams.leave_last_work first stopped the load before it made the upstream leave and said 0.0006 s, which measured nothing.

Its bound of 1 is the principle that ejection must not fail more requests than no ejection.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,7 @@
 
 from .figures import figure_line
 
-MODULES: tuple[str, ...] = ("configuration",)
+MODULES: tuple[str, ...] = ("configuration", "upstreams", "balance_requests")
 
 
 def main() -> int:
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -38,6 +38,9 @@
     "control.bytes_change": Target(bound=14336, unit="bytes/s"),
     "upstreams.cold_excess": Target(bound=0, unit="requests"),
     "upstreams.leave_last_work": Target(bound=2, unit="s"),
+    # Requests that fail, over those that fail in the same fault without any ejection:
+    # the principle is that ejection must not make matters worse.
+    "upstreams.failed_requests": Target(bound=1, unit="ratio"),
     "balance.flows": Target(bound=1.10, unit="ratio"),
     "balance.requests": Target(bound=1.25, unit="ratio"),
     "requests.duplicate_runs": Target(bound=0, unit="runs"),
--- a/testing/programs/test_upstreams.py
+++ b/testing/programs/test_upstreams.py
@@ -11,7 +11,7 @@
 from testing.support.cell import Cell
 from testing.support.processes import wait_until
 from testing.support.request_driver import (
-    control,
+    call_control,
     drive,
     standin_report,
     start_standin,
@@ -77,8 +77,12 @@
     start_standin(cell, "gl-huron")
     cell.wait_registered("alley-desk", 2)
     drive(hosts_of(cell), 8, lambda counts: counts[200] >= 300)
-    control(leaver, "POST", "/v1/leave")
-    drive(hosts_of(cell), 8, lambda counts: counts[200] >= 1500)
+    drive(
+        hosts_of(cell),
+        8,
+        lambda counts: counts[200] >= 1000,
+        during=lambda: call_control(leaver, "POST", "/v1/leave"),
+    )
     report = standin_report(leaver)
     assert report["last_new_work_at"] - report["leaving_at"] < LEAVE_SECONDS
 
--- a/testing/support/request_driver.py
+++ b/testing/support/request_driver.py
@@ -5,7 +5,7 @@
 import itertools
 import json
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import anyio
@@ -39,21 +39,17 @@
 
 def standin_report(host: str) -> dict[str, Any]:
     """Return the counters of a stand-in."""
-    report: dict[str, Any] = json.loads(control(host, "GET", "/v1/report"))
+    body = anyio.run(call_control, host, "GET", "/v1/report")
+    report: dict[str, Any] = json.loads(body)
     return report
 
 
-def control(host: str, method: str, path: str, document: object = None) -> bytes:
+async def call_control(host: str, method: str, path: str) -> bytes:
     """Call the control port of a stand-in and return the answer's body."""
-    body = b"" if document is None else json.dumps(document).encode()
     address = Address(host=host, port=CONTROL_PORT)
-
-    async def call() -> bytes:
-        answer = await http_request(address, method, path, body=body)
-        assert answer.status in (200, 204), answer
-        return answer.body
-
-    return anyio.run(call)
+    answer = await http_request(address, method, path)
+    assert answer.status in (200, 204), answer
+    return answer.body
 
 
 def drive(
@@ -61,14 +57,17 @@
     callers: int,
     enough: Callable[[Counter[int]], bool],
     seconds: float = 30.0,
+    during: Callable[[], Awaitable[object]] | None = None,
 ) -> Counter[int]:
     """Let callers send one request after another until there is enough.
 
     :param enough: is given the number of answers by status; 0 is no answer.
     :param seconds: a generous bound.
+    :param during: is called once while requests are under way.
     """
     counts: Counter[int] = Counter()
     turns = itertools.cycle(hosts)
+    begun = anyio.Event()
 
     async def caller(scope: anyio.CancelScope) -> None:
         while not enough(counts):
@@ -76,6 +75,7 @@
             try:
                 answer = await http_request(address, "GET", "/alleys", timeout=2.0)
                 counts[answer.status] += 1
+                begun.set()
             except ChervilstageError:
                 counts[NO_ANSWER] += 1
                 await anyio.sleep(0.05)
@@ -86,6 +86,9 @@
             async with anyio.create_task_group() as group:
                 for _ in range(callers):
                     group.start_soon(caller, group.cancel_scope)
+                await begun.wait()
+                if during:
+                    await during()
 
     anyio.run(run)
     assert enough(counts), f"not within {seconds} s: {counts}"
--- a/testing/support/upstream_load.py
+++ b/testing/support/upstream_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from chervilstage.coordination.health import begin_attempt, end_attempt
@@ -10,12 +11,15 @@
     give_slot,
     take_slot,
 )
+from chervilstage.coordination.selection import Candidate, aged_load, choose
 from chervilstage.state.capacity import AttemptResult
 from chervilstage.state.health import HealthTable
 from chervilstage.state.types import UpstreamRecord
 from chervilstage.state.upstream_keys import upstream_key
 
-from .upstream_fakes import SERVICE, FakeEntry, FakeGroup
+from .upstream_fakes import SERVICE, STEP_SECONDS, FakeEntry, FakeGroup
+
+Pick = Callable[["FakeLoad", FakeEntry], int | None]
 
 
 class Running(NamedTuple):
@@ -50,14 +54,23 @@
 
 
 class FakeLoad:
-    """Callers that keep a number of requests open at each entry.
+    """Callers that keep a number of requests open at each entry, or come at a rate.
+
+    ``offered`` is how many requests each entry has open or waiting; ``rates`` adds
+    arrivals a second to its ``backlog``.
 
     :param work: the bounds of the seconds that a request takes.
+    :param pick: chooses the upstream of a request by its key, in place of leases.
     """
 
-    def __init__(self, *, group: FakeGroup, work: tuple[float, float]) -> None:
+    def __init__(
+        self, *, group: FakeGroup, work: tuple[float, float], pick: Pick | None = None
+    ) -> None:
         self.group = group
         self.work = work
+        self.pick = pick or self.pick_leased
+        self.rates = dict.fromkeys(group.entries, 0.0)
+        self.backlog = dict.fromkeys(group.entries, 0)
         self.upstreams: dict[int, FakeUpstream] = {}
         self.offered = dict.fromkeys(group.entries, 0)
         self.health = {name: HealthTable() for name in group.entries}
@@ -103,22 +116,58 @@
         up = [e.name for e in self.group.entries.values() if not e.frozen]
         for upstream in self.upstreams.values():
             record = upstream.record
-            upstream.record = record._replace(sequence=record.sequence + 1)
-            for name in up:
-                self.group.announce(name, upstream.record)
+            upstream.record = record._replace(
+                sequence=record.sequence + 1, load=len(upstream.running)
+            )
+            if up:
+                self.group.announce(self.group.rng.choice(up), upstream.record)
 
     def start_requests(self, entry: FakeEntry) -> None:
         """Start what the leases of an entry allow, up to its offered load."""
-        group, held = self.group, entry.held
-        now = group.clock(entry)
+        held = entry.held
+        self.backlog[entry.name] += self.arrivals(self.rates[entry.name])
         busy = sum(held.in_flight.values())
-        held.waiting[SERVICE] = max(0, self.offered[entry.name] - busy)
-        for key, upstream in self.upstreams.items():
-            while held.waiting[SERVICE] and free_slots(held, key, now) > 0:
-                held.waiting[SERVICE] -= 1
-                take_slot(held, key)
-                begin_attempt(self.health[entry.name], key)
-                self.start(entry, key, upstream)
+        wanting = max(0, self.offered[entry.name] - busy) + self.backlog[entry.name]
+        while wanting:
+            held.waiting[SERVICE] = wanting
+            key = self.pick(self, entry)
+            if key is None:
+                break
+            wanting -= 1
+            self.backlog[entry.name] = max(0, self.backlog[entry.name] - 1)
+            take_slot(held, key)
+            begin_attempt(self.health[entry.name], key)
+            self.start(entry, key, self.upstreams[key])
+        held.waiting[SERVICE] = wanting
+
+    def arrivals(self, rate: float) -> int:
+        """Return how many requests arrive in one step."""
+        count, gap = 0, 0.0
+        while rate and (gap := gap + self.group.rng.expovariate(rate)) < STEP_SECONDS:
+            count += 1
+        return count
+
+    @staticmethod
+    def pick_leased(load: FakeLoad, entry: FakeEntry) -> int | None:
+        """Choose as the transport does, within the leases of an entry."""
+        now, held = load.group.clock(entry), entry.held
+        candidates = []
+        for record in entry.registry.of_service(SERVICE):
+            key = upstream_key(record.identity)
+            if key not in load.upstreams or free_slots(held, key, now) <= 0:
+                continue
+            own = held.in_flight[key]
+            age = now - entry.registry.heard_at[record.identity.address]
+            candidates.append(
+                Candidate(
+                    record=record,
+                    load=own + aged_load(record.load, own, age),
+                    latency=load.health[entry.name].get(key).latency,
+                    away=record.data_centre != entry.table.data_centre,
+                )
+            )
+        chosen = choose(candidates, load.group.rng)
+        return upstream_key(chosen.record.identity) if chosen else None
 
     def start(self, entry: FakeEntry, key: int, upstream: FakeUpstream) -> None:
         """Start one request; beyond its capacity the upstream refuses."""
