Ramp again after a data centre is back, and weigh upstreams for flows

A data centre that comes back kept the stage its upstreams had before. On the change each entry now restarts the ramp in its books and leases, so a new owner does not adopt the old stage. flow_weight() counts announcements since the ramp started: all entries come to the same weight without a message, and a service without requests ramps too. Ruled out: the request ramp for flows, whose stage only the lease owner knows and which does not move without requests.

--- a/src/chervilstage/coordination/lease_owner.py
+++ b/src/chervilstage/coordination/lease_owner.py
@@ -112,16 +112,6 @@
     return grants
 
 
-def restart_ramps(
-    owned: OwnedLeases, registry: UpstreamRegistry, data_centre: str
-) -> None:
-    """Let the upstreams of a data centre that is back in service ramp again."""
-    for key, book in owned.books.items():
-        record = registry.find(key)
-        if record is not None and record.data_centre == data_centre:
-            book.ramp = restart(book.ramp)
-
-
 def note_ask(
     book: LeaseBook,
     table: MemberTable,
--- a/src/chervilstage/coordination/ramp.py
+++ b/src/chervilstage/coordination/ramp.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from ..state.leases import Ramp
+from ..state.leases import HeldLeases, OwnedLeases, Ramp
+from ..state.registry import UpstreamRegistry
 from ..state.types import UpstreamRecord
+from ..state.upstream_keys import upstream_key
 
 SUCCESSES_PER_SLOT = 8
 STAGE_ENTRIES = (1, 2)
@@ -41,14 +43,33 @@
     return Ramp(epoch=ramp.epoch + 1)
 
 
-def flow_weight(record: UpstreamRecord, base: int = 0) -> float:
-    """Return how far an upstream has ramped for flows, above 0.0 up to 1.0.
+def restart_centre(
+    registry: UpstreamRegistry, owned: OwnedLeases, held: HeldLeases, data_centre: str
+) -> None:
+    """Let the upstreams of a data centre that is back in service ramp again.
 
-    The announcements since ``base`` are counted, so all entries that hold the record
-    come to the same weight, and a service without requests ramps too. The weight
-    doubles from 1/8 every two announcements and is 1.0 after six.
+    Every entry does so on the same change, so a new owner, which takes the newest
+    epoch that is reported to it, starts at the first stage too.
+    """
+    for address, record in registry.records.items():
+        if record.data_centre != data_centre:
+            continue
+        registry.ramp_base[address] = record.sequence
+        key = upstream_key(record.identity)
+        book, lease = owned.books.get(key), held.leases.get(key)
+        if book is not None:
+            book.ramp = restart(book.ramp)
+        if lease is not None:
+            held.leases[key] = lease._replace(epoch=lease.epoch + 1, stage=0)
+
+
+def flow_weight(registry: UpstreamRegistry, record: UpstreamRecord) -> float:
+    """Return how far an upstream has ramped for flows, above 0.0 up to 1.0.
 
-    :param base: the sequence at which the ramp started again.
+    The announcements since the ramp started are counted, so all entries that hold the
+    record come to the same weight, and a service without requests ramps too. The
+    weight doubles from 1/8 every two announcements and is 1.0 after six.
     """
-    age = max(0, record.sequence - base)
-    return min(1.0, (1 << min(age // ANNOUNCEMENTS_PER_FLOW_STEP, 8)) / FLOW_STEPS)
+    base = registry.ramp_base.get(record.identity.address, 0)
+    steps = max(0, record.sequence - base) // ANNOUNCEMENTS_PER_FLOW_STEP
+    return min(1.0, float(1 << min(steps, FLOW_STEPS)) / FLOW_STEPS)
--- a/src/chervilstage/transport/capacity.py
+++ b/src/chervilstage/transport/capacity.py
@@ -29,8 +29,8 @@
     take_slot,
     usable,
 )
-from ..coordination.lease_owner import Grant, receive_ask, restart_ramps, tick_owner
-from ..coordination.ramp import is_warm
+from ..coordination.lease_owner import Grant, receive_ask, tick_owner
+from ..coordination.ramp import is_warm, restart_centre
 from ..coordination.selection import Candidate, aged_load, choose
 from ..errors.upstreams import NoUpstreamError
 from ..protocol.capacity_messages import (
@@ -295,7 +295,7 @@
         """Let the upstreams of data centres that are back in service ramp."""
         out = self.configuration().out
         for data_centre in self.out - out:
-            restart_ramps(self.owned, self.registry, data_centre)
+            restart_centre(self.registry, self.owned, self.held, data_centre)
         self.out = out
 
     def gauges(self) -> dict[str, float]:
--- /dev/null
+++ b/testing/coordination/test_selection.py
@@ -0,0 +1,50 @@
+"""The choice of an upstream for a request."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from chervilstage.coordination.selection import Candidate, aged_load, choose
+from testing.support.upstream_fakes import record_of
+
+
+def candidate(number: int, load: float = 0.0, **fields: object) -> Candidate:
+    """Return a candidate for upstream ``number``."""
+    plain = Candidate(
+        record=record_of(number), load=load, latency=0.01, away=False, trial=False
+    )
+    return plain._replace(**fields)
+
+
+class ChoiceTests(TestCase):
+    """Guards against choices that herd or that trust old reports."""
+
+    def test_loaded_upstream_is_chosen_only_beside_a_more_loaded_one(self) -> None:
+        candidates = [candidate(0, 2.0), candidate(1, 1.0), candidate(2, 0.0)]
+        rng = Random(1)
+        chosen = Counter(choose(candidates, rng) for _ in range(3000))
+        self.assertThat(chosen[candidates[0]], Equals(0))
+        self.assertThat(chosen[candidates[1]], GreaterThan(800))
+        self.assertThat(chosen[candidates[1]], LessThan(1200))
+
+    def test_own_data_centre_then_latency_break_ties(self) -> None:
+        rng = Random(1)
+        near, away = candidate(0), candidate(1, away=True)
+        slow = candidate(2, latency=0.5)
+        for _ in range(50):
+            self.assertThat(choose([away, near], rng), Equals(near))
+            self.assertThat(choose([slow, near], rng), Equals(near))
+
+    def test_due_trial_goes_first_and_nothing_gives_nothing(self) -> None:
+        trial = candidate(1, 9.0, trial=True)
+        chosen = choose([candidate(0), trial, candidate(2)], Random(1))
+        self.assertThat(chosen, Equals(trial))
+        self.assertThat(choose([], Random(1)), Equals(None))
+
+    def test_report_loses_its_weight_with_age(self) -> None:
+        ages = [aged_load(5, 1, age) for age in (0.0, 1.5, 3.0, 60.0)]
+        self.assertThat(ages, Equals([4.0, 2.0, 0.0, 0.0]))
--- /dev/null
+++ b/testing/protocol/test_upstream_messages.py
@@ -0,0 +1,86 @@
+"""Encoding of records, digests, asks and grants."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from chervilstage.errors.access import EnvelopeFormatError
+from chervilstage.protocol.capacity_messages import (
+    decode_ask,
+    decode_grants,
+    encode_ask,
+    encode_grants,
+)
+from chervilstage.protocol.upstream_messages import (
+    decode_digest,
+    decode_fetch,
+    decode_records,
+    encode_digest,
+    encode_fetch,
+    encode_records,
+)
+from chervilstage.state.leases import AskItem, GrantItem
+from chervilstage.state.spread import DigestItem
+from testing.support.upstream_fakes import record_of
+
+SMALL = st.integers(0, 2**16 - 1)
+MIDDLE = st.integers(0, 2**32 - 1)
+LARGE = st.integers(0, 2**64 - 1)
+
+ASKS = st.builds(
+    AskItem,
+    key=LARGE,
+    want=SMALL,
+    held=SMALL,
+    need=SMALL,
+    successes=MIDDLE,
+    cold=MIDDLE,
+    epoch=MIDDLE,
+    stage=SMALL,
+)
+GRANTS = st.builds(
+    GrantItem,
+    key=LARGE,
+    number=LARGE,
+    target=SMALL,
+    epoch=MIDDLE,
+    stage=SMALL,
+    report=st.booleans(),
+)
+DIGESTS = st.builds(
+    DigestItem, key=LARGE, sequence=LARGE, load=SMALL, leaving=st.booleans()
+)
+
+
+class MessageTests(TestCase):
+    """Guards against fields that are lost or swapped on the way."""
+
+    @given(number=LARGE, items=st.lists(ASKS, max_size=20))
+    def test_ask_round_trip(self, number: int, items: list[AskItem]) -> None:
+        decoded = decode_ask(encode_ask(number, items))
+        self.assertThat(decoded, Equals((number, items)))
+
+    @given(st.lists(GRANTS, max_size=20))
+    def test_grants_round_trip(self, items: list[GrantItem]) -> None:
+        self.assertThat(decode_grants(encode_grants(items)), Equals(items))
+
+    @given(st.lists(DIGESTS, max_size=20), st.lists(LARGE, max_size=20))
+    def test_digest_and_fetch_round_trip(
+        self, items: list[DigestItem], keys: list[int]
+    ) -> None:
+        self.assertThat(decode_digest(encode_digest(items)), Equals(items))
+        self.assertThat(decode_fetch(encode_fetch(keys)), Equals(keys))
+
+    def test_records_round_trip(self) -> None:
+        records = [record_of(n, sequence=n + 7, leaving=n == 1) for n in range(3)]
+        self.assertThat(decode_records(encode_records(records)), Equals(records))
+
+    @given(st.binary(max_size=60))
+    def test_foreign_bytes_are_refused_or_decoded(self, data: bytes) -> None:
+        for decode in (decode_ask, decode_grants, decode_digest, decode_fetch):
+            try:
+                decode(data)
+            except EnvelopeFormatError:
+                continue
