--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import NamedTuple
 
 from ..coordination.flows import end_flows_out
 from ..protocol.settings import EntrySettings, peers_of
@@ -27,39 +28,98 @@
 from .request_service import RequestService
 
 
+class EntryState(NamedTuple):
+    """The state that the parts of an entry share."""
+
+    counters: Counters
+    registry: UpstreamRegistry
+    in_force: ConfigurationInForce
+    members: MemberTable
+    flows: FlowState
+
+
+class EntryLinks(NamedTuple):
+    """What carries messages between this entry and other processes."""
+
+    frames: FrameClient
+    frame_server: FrameServer
+    link: PeerLink
+    membership: Membership
+
+
+class EntryServices(NamedTuple):
+    """The parts that serve callers and upstreams."""
+
+    capacity: UpstreamCapacity
+    requests: RequestService
+    flow_link: FlowLink
+    front_ends: FrontEnds
+    registration: Registration
+
+
 def build_entry(settings: EntrySettings, key: bytes) -> Application:
     """Return the application of an entry.
 
     :param key: the key that the processes of the system share.
     """
-    name, host = settings["name"], settings["host"]
+    state = _build_state(settings)
+    links = _build_links(settings, key, state)
+    services = _build_services(settings, state, links)
+    client = _build_configuration_client(settings, state, links, services)
+    for listener in (
+        services.flow_link.on_member,
+        services.registration.on_member_event,
+        client.notice,
+    ):
+        links.membership.listeners.append(listener)
+
+    def gauges() -> dict[str, float]:
+        return _gauges(state, services)
+
+    serve_explanations(links.frame_server, state.flows)
+    serve_entry_status(links.frame_server, state.in_force, gauges, client.group)
+    app = Application(name=settings["name"], drain_seconds=_drain_seconds(settings))
+    metrics_address = Address(host=settings["host"], port=settings["metrics_port"])
+    app.add(
+        metrics_hooks(address=metrics_address, counters=state.counters, gauges=gauges)
+    )
+    # Parts drain in reverse order: requests and registration before the front ends
+    # close, the membership's notice of leaving before the pins are handed over.
+    parts = (
+        links.frames,
+        links.frame_server,
+        links.link,
+        services.flow_link,
+        links.membership,
+        services.capacity,
+        services.front_ends,
+        services.registration,
+        client,
+        services.requests,
+    )
+    for part in parts:
+        app.add(part.hooks())
+    return app
+
+
+def _drain_seconds(settings: EntrySettings) -> float:
+    return settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
+
+
+def _peer_address(settings: EntrySettings) -> Address:
+    return Address(host=settings["host"], port=settings["peer_port"])
+
+
+def _build_state(settings: EntrySettings) -> EntryState:
     counters = Counters()
     registry = UpstreamRegistry()
     in_force = ConfigurationInForce()
-    peer_address = Address(host=host, port=settings["peer_port"])
-    frames = FrameClient(name=name, key=key, counters=counters)
-    frame_server = FrameServer(
-        name=name, address=peer_address, key=key, counters=counters
-    )
-    peers = peers_of(settings.get("peers", []))
-    link = PeerLink(
-        name=name, address=peer_address, key=key, peers=peers, counters=counters
-    )
     members = MemberTable(
-        name=name,
+        name=settings["name"],
         data_centre=settings["data_centre"],
-        peers=peers,
+        peers=peers_of(settings.get("peers", [])),
         lease_seconds=LEASE_SECONDS,
     )
-    membership = Membership(table=members, link=link)
-    capacity = UpstreamCapacity(
-        registry=registry,
-        configuration=lambda: in_force.current,
-        members=members,
-        link=link,
-        counters=counters,
-        rng=Random(),
-    )
     flows = FlowState(
         members=members,
         registry=registry,
@@ -67,96 +127,127 @@
         counters=counters,
         unreachable=registry.unreachable,
     )
-    drain_seconds = settings.get("drain_seconds", DEFAULT_DRAIN_SECONDS)
-    requests = RequestService(
+    return EntryState(
+        counters=counters,
+        registry=registry,
         in_force=in_force,
+        members=members,
+        flows=flows,
+    )
+
+
+def _build_links(settings: EntrySettings, key: bytes, state: EntryState) -> EntryLinks:
+    name, address = settings["name"], _peer_address(settings)
+    counters = state.counters
+    link = PeerLink(
+        name=name,
+        address=address,
+        key=key,
+        peers=peers_of(settings.get("peers", [])),
         counters=counters,
-        capacity=capacity,
-        membership=membership,
+    )
+    return EntryLinks(
+        frames=FrameClient(name=name, key=key, counters=counters),
+        frame_server=FrameServer(
+            name=name, address=address, key=key, counters=counters
+        ),
         link=link,
-        frames=frames,
-        server=frame_server,
-        drain_seconds=drain_seconds,
+        membership=Membership(table=state.members, link=link),
+    )
+
+
+def _build_services(
+    settings: EntrySettings, state: EntryState, links: EntryLinks
+) -> EntryServices:
+    capacity = UpstreamCapacity(
+        registry=state.registry,
+        configuration=lambda: state.in_force.current,
+        members=state.members,
+        link=links.link,
+        counters=state.counters,
+        rng=Random(),
+    )
+    requests = RequestService(
+        in_force=state.in_force,
+        counters=state.counters,
+        capacity=capacity,
+        membership=links.membership,
+        link=links.link,
+        frames=links.frames,
+        server=links.frame_server,
+        drain_seconds=_drain_seconds(settings),
     )
     flow_link = FlowLink(
-        state=flows, link=link, release=lambda *held: front_ends.release(*held)
+        state=state.flows,
+        link=links.link,
+        release=lambda *held: front_ends.release(*held),
     )
     front_ends = FrontEnds(
-        host=host,
-        in_force=in_force,
-        counters=counters,
+        host=settings["host"],
+        in_force=state.in_force,
+        counters=state.counters,
         requests=requests,
-        flows=flows,
+        flows=state.flows,
         on_held=flow_link.wake,
     )
-    membership.listeners.append(flow_link.on_member)
     registration = Registration(
-        address=Address(host=host, port=settings["platform_port"]),
-        registry=registry,
+        address=Address(host=settings["host"], port=settings["platform_port"]),
+        registry=state.registry,
         configuration=front_ends.configuration,
-        link=link,
-        members=members,
-        counters=counters,
+        link=links.link,
+        members=state.members,
+        counters=state.counters,
         rng=Random(),
     )
-    membership.listeners.append(registration.on_member_event)
+    return EntryServices(
+        capacity=capacity,
+        requests=requests,
+        flow_link=flow_link,
+        front_ends=front_ends,
+        registration=registration,
+    )
 
-    def on_configuration() -> None:
-        revision = in_force.current.revision
-        members.report = members.report._replace(revision=revision)
-        front_ends.reconcile()
-        capacity.on_configuration()
-        end_flows_out(flows)
 
-    own = Peer(name=name, data_centre=settings["data_centre"], address=peer_address)
-    client = ConfigurationClient(
+def _build_configuration_client(
+    settings: EntrySettings,
+    state: EntryState,
+    links: EntryLinks,
+    services: EntryServices,
+) -> ConfigurationClient:
+    def on_change() -> None:
+        revision = state.in_force.current.revision
+        state.members.report = state.members.report._replace(revision=revision)
+        services.front_ends.reconcile()
+        services.capacity.on_configuration()
+        end_flows_out(state.flows)
+
+    own = Peer(
+        name=settings["name"],
+        data_centre=settings["data_centre"],
+        address=_peer_address(settings),
+    )
+    return ConfigurationClient(
         own=own,
         replicas=peers_of(settings.get("replicas", [])),
-        frames=frames,
-        frame_server=frame_server,
-        members=members,
-        in_force=in_force,
-        on_change=on_configuration,
+        frames=links.frames,
+        frame_server=links.frame_server,
+        members=state.members,
+        in_force=state.in_force,
+        on_change=on_change,
     )
-    membership.listeners.append(client.notice)
 
-    def gauges() -> dict[str, float]:
-        return {
-            "flows_held": flows.flows_held(),
-            "buckets_unsettled": flows.unsettled_count(),
-            "exceptions_known": flows.exceptions_known(),
-            "view_in_force": flows.view.identity.number,
-            "revision_in_force": in_force.current.revision,
-            "upstreams_registered": len(registry.records),
-            "members_live": len(members.live()),
-            **phase_gauges(registry),
-            **requests.gauges(),
-            **capacity.gauges(),
-        }
-
-    serve_explanations(frame_server, flows)
-    serve_entry_status(frame_server, in_force, gauges, client.group)
-
-    app = Application(name=name, drain_seconds=drain_seconds)
-    app.add(
-        metrics_hooks(
-            address=Address(host=host, port=settings["metrics_port"]),
-            counters=counters,
-            gauges=gauges,
-        )
-    )
-    parts = (
-        frames,
-        frame_server,
-        link,
-        flow_link,
-        membership,
-        capacity,
-        front_ends,
-        registration,
-        client,
-        requests,
-    )
-    for part in parts:
-        app.add(part.hooks())
-    return app
+
+def _gauges(state: EntryState, services: EntryServices) -> dict[str, float]:
+    flows = state.flows
+    return {
+        "flows_held": flows.flows_held(),
+        "buckets_unsettled": flows.unsettled_count(),
+        "exceptions_known": flows.exceptions_known(),
+        "view_in_force": flows.view.identity.number,
+        "revision_in_force": state.in_force.current.revision,
+        "upstreams_registered": len(state.registry.records),
+        "members_live": len(state.members.live()),
+        **phase_gauges(state.registry),
+        **services.requests.gauges(),
+        **services.capacity.gauges(),
+    }
