--- a/src/chervilstage/transport/control_daemon.py
+++ b/src/chervilstage/transport/control_daemon.py
@@ -76,6 +76,7 @@
         client=client,
         frames=frames,
         tls=tls_context(settings),
+        counters=counters,
     )
 
     def gauges() -> dict[str, float]:
--- a/src/chervilstage/transport/control_server.py
+++ b/src/chervilstage/transport/control_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from hmac import compare_digest
 from ssl import SSLContext
 
@@ -29,9 +30,11 @@
 from ..protocol.documents import encode_configuration
 from ..protocol.kinds import Kind
 from ..protocol.operator_documents import operation_id_of
+from ..state.counters import Counters
 from ..state.replica import Replica, Role
 from ..state.types import Address
 from .application import Hooks
+from .event_log import log_event
 from .frame_channel import FrameClient, FrameServer
 from .http_connection import HttpRequest, HttpResponse
 from .http_server import error_response, start_http_server
@@ -67,12 +70,14 @@
         client: FrameClient,
         frames: FrameServer,
         tls: SSLContext | None,
+        counters: Counters,
     ) -> None:
         self.operator_address = operator_address
         self.operator_key = operator_key
         self.calls = calls
         self.client = client
         self.tls = tls
+        self.counters = counters
         frames.serve(Kind.CONFIGURATION_FETCH, self.fetch)
         frames.serve(Kind.STATUS, self.status)
         frames.serve(Kind.OPERATOR_CALL, self.relayed)
@@ -122,7 +127,10 @@
         expected = b"Bearer " + self.operator_key
         given = request.headers.get("authorization", "").encode("latin-1")
         if not compare_digest(given, expected):
-            return error_response(STATUS_UNAUTHORIZED, OperatorKeyError())
+            error = OperatorKeyError()
+            self.counters.add("operator_calls_refused", error.code)
+            log_event("operator_call_refused", level=logging.WARNING, code=error.code)
+            return error_response(STATUS_UNAUTHORIZED, error)
         call = OperatorCall(
             method=request.method, target=request.target, body=request.body
         )
--- a/testing/programs/test_ctl_online.py
+++ b/testing/programs/test_ctl_online.py
@@ -100,6 +100,7 @@
     assert status == 6, errors
     assert "CS-ACCESS-004" in errors
     assert read(cell, "show") == before
+    assert cell.processes.started[0].lines("operator_call_refused")
 
 
 def test_diff_of_the_applied_files_is_empty(cell: Cell) -> None:
