Keep the slot of an unanswered attempt until its upstream has noticed

Cause: a caller that leaves cancels its attempt by closing the connection. The slot went back at once, and a request on another connection could reach the upstream before it had seen the close: one or two requests over the slots in test_killed_and_frozen_entries_cause_no_overload, whose callers all leave when a phase ends.

--- a/src/chervilstage/transport/capacity.py
+++ b/src/chervilstage/transport/capacity.py
@@ -54,6 +54,12 @@
 from .peer_link import PeerLink
 
 TICK_SECONDS = 0.05
+# An upstream learns of a cancelled attempt only when its connection closes; a slot
+# given back at once could be used again before that.
+LINGER_SECONDS = 0.1
+UNANSWERED = frozenset(
+    {AttemptResult.CANCELLED, AttemptResult.FAILED, AttemptResult.TIMED_OUT}
+)
 
 
 class Waiter(NamedTuple):
@@ -64,6 +70,13 @@
     permits: list[Permit]
 
 
+class LingeringSlot(NamedTuple):
+    """A slot whose attempt has ended here; the upstream may still work on it."""
+
+    key: int
+    until: float
+
+
 class UpstreamCapacity:
     """Grants permits for attempts and takes them back with their results.
 
@@ -92,6 +105,7 @@
         self.held = HeldLeases(number=time.time_ns() // 1_000_000)
         self.waiters: dict[str, deque[Waiter]] = defaultdict(deque)
         self.out: frozenset[str] = frozenset()
+        self.lingering: deque[LingeringSlot] = deque()
         link.register(Kind.CAPACITY_REQUEST, self.receive_ask)
         link.register(Kind.CAPACITY_GRANT, self.receive_grants)
 
@@ -195,13 +209,24 @@
             anyio.current_time(),
             self.rng,
         )
-        succeeded = result is AttemptResult.SUCCEEDED
-        give_slot(self.held, key, succeeded=succeeded, cold=verdict.cold)
+        if result in UNANSWERED:
+            until = anyio.current_time() + LINGER_SECONDS
+            self.lingering.append(LingeringSlot(key=key, until=until))
+        else:
+            succeeded = result is AttemptResult.SUCCEEDED
+            give_slot(self.held, key, succeeded=succeeded, cold=verdict.cold)
         self.log_verdict(permit.upstream, verdict)
         self.serve_waiters(service)
         if verdict.cold:
             self.send_asks()
 
+    def give_lingering(self) -> None:
+        """Give back the slots of attempts that upstreams have stopped by now."""
+        now = anyio.current_time()
+        while self.lingering and self.lingering[0].until <= now:
+            key = self.lingering.popleft().key
+            give_slot(self.held, key, succeeded=False, cold=False)
+
     def log_verdict(self, record: UpstreamRecord, verdict: Verdict) -> None:
         """Count and log what changed about an upstream."""
         address = record.identity.address
@@ -327,6 +352,7 @@
                     self.owned, self.registry, self.members, anyio.current_time()
                 )
             )
+            self.give_lingering()
             self.send_asks()
             forget_leases(self.held, self.registry.by_key)
             for service in [s for s, queue in self.waiters.items() if queue]:
