End the reading of a datagram socket that a planned stop has closed

The stop hook of the peer link closes the socket; other hooks still run, and a reader that the loop has already woken reads the closed socket before it is cancelled.

Ruled out: the entry was not killed and had handed over its records and pins. The reader now ends when its socket is closed; other errors still end the process.

--- a/src/chervilstage/transport/datagrams.py
+++ b/src/chervilstage/transport/datagrams.py
@@ -12,6 +12,8 @@
 BATCH = 64
 MAXIMUM_DATAGRAM_BYTES = 65_535
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+# The descriptor of a closed socket.
+CLOSED = -1
 
 DatagramHandler = Callable[[bytes, tuple[str, int]], None]
 
@@ -32,12 +34,13 @@
 
 
 async def receive_datagrams(sock: socket.socket, handler: DatagramHandler) -> None:
-    """Pass each datagram to the handler until cancelled.
+    """Pass each datagram to the handler until cancelled or the socket is closed.
 
-    After a full batch the loop gives other tasks their turn.
+    After a full batch the loop gives other tasks their turn. At a planned stop the
+    socket may be closed before this task is cancelled.
     """
     receive = sock.recvfrom
-    while True:
+    while sock.fileno() != CLOSED:
         await anyio.wait_readable(sock)
         try:
             for _ in range(BATCH):
@@ -48,6 +51,9 @@
         except ConnectionRefusedError:
             # Linux reports an ICMP error of an earlier send on the next receive.
             continue
+        except OSError:
+            if sock.fileno() != CLOSED:
+                raise
 
 
 def send_datagram(sock: socket.socket, data: bytes, to: tuple[str, int]) -> bool:
