Keep the slot of an unanswered attempt until a ramping upstream is heard

An upstream that was starting cold was paused for 7 s. One entry's attempt timed out there after 4.3 s, its slot was free 0.1 s later, and the lease went to another entry, which sent the next request. The upstream read both when it resumed; it bore one.

Ruled out: the pause of an entry (permits are young enough), the owner's take-over (both leases came from one owner, one after the other).

The slot of an attempt that ended unanswered now waits, while the upstream warms up, until the upstream has announced itself after that end. Warm upstreams keep the 0.1 s. Tests over the decision; the first fails without the change.

--- a/src/chervilstage/coordination/lease_holder.py
+++ b/src/chervilstage/coordination/lease_holder.py
@@ -7,8 +7,16 @@
 from typing import NamedTuple
 
 from ..state.capacity import Permit
-from ..state.leases import AskItem, Demand, GrantItem, HeldLease, HeldLeases
+from ..state.leases import (
+    AskItem,
+    Demand,
+    GrantItem,
+    HeldLease,
+    HeldLeases,
+    LingeringSlot,
+)
 from ..state.members import MemberTable
+from ..state.registry import UpstreamRegistry
 from ..state.types import UpstreamRecord
 from ..state.upstream_keys import upstream_key
 from .lease_owner import CAPACITY_LEASE_SECONDS, CLOCK_RATE_ERROR
@@ -28,6 +36,9 @@
 # An owner counts the slots of a silent entry for 5 s after their lease; a request that
 # is sent later than this after its permit could find the slot given on.
 PERMIT_SECONDS = 1.5
+# An upstream learns of a cancelled attempt only when its connection closes; a slot
+# given back at once could be used again before that.
+LINGER_SECONDS = 0.1
 NEED_PERCENT = 100
 MOST_NEED = 10_000
 # What an entry without slots counts as holding; it goes before all others in need.
@@ -96,6 +107,25 @@
     )
 
 
+def can_return(
+    slot: LingeringSlot, held: HeldLeases, registry: UpstreamRegistry, now: float
+) -> bool:
+    """Tell whether an upstream has ended an attempt that was given up unanswered.
+
+    A paused upstream starts the attempt when it resumes. One that is warming up has
+    no room for another beside it, so its slot waits until it is heard again.
+    """
+    since = slot.ended_at
+    record = registry.find(slot.key)
+    lease = held.leases.get(slot.key)
+    if record is not None and lease and not is_warm(lease.stage, record.slots):
+        heard_at = registry.heard_at[record.identity.address]
+        if heard_at < slot.ended_at:
+            return False
+        since = heard_at
+    return now - since >= LINGER_SECONDS
+
+
 def receive_grant(held: HeldLeases, sender: str, item: GrantItem, now: float) -> bool:
     """Take a grant and tell whether more requests may be started by it.
 
--- a/src/chervilstage/state/leases.py
+++ b/src/chervilstage/state/leases.py
@@ -124,6 +124,16 @@
     stage: int = 0
 
 
+class LingeringSlot(NamedTuple):
+    """A slot whose attempt has ended here; the upstream may still work on it.
+
+    ``ended_at`` is in monotonic seconds.
+    """
+
+    key: int
+    ended_at: float
+
+
 class Demand(NamedTuple):
     """The requests of a service that run or wait: recent peak and moving average."""
 
--- a/src/chervilstage/transport/capacity.py
+++ b/src/chervilstage/transport/capacity.py
@@ -20,6 +20,7 @@
     standing,
 )
 from ..coordination.lease_holder import (
+    can_return,
     forget_leases,
     free_slots,
     give_slot,
@@ -44,7 +45,13 @@
 from ..state.configuration import Configuration
 from ..state.counters import Counters
 from ..state.health import HealthTable
-from ..state.leases import AskItem, GrantItem, HeldLeases, OwnedLeases
+from ..state.leases import (
+    AskItem,
+    GrantItem,
+    HeldLeases,
+    LingeringSlot,
+    OwnedLeases,
+)
 from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry, is_leaving
 from ..state.types import Address, UpstreamRecord
@@ -54,9 +61,6 @@
 from .peer_link import PeerLink
 
 TICK_SECONDS = 0.05
-# An upstream learns of a cancelled attempt only when its connection closes; a slot
-# given back at once could be used again before that.
-LINGER_SECONDS = 0.1
 UNANSWERED = frozenset(
     {AttemptResult.CANCELLED, AttemptResult.FAILED, AttemptResult.TIMED_OUT}
 )
@@ -70,13 +74,6 @@
     permits: list[Permit]
 
 
-class LingeringSlot(NamedTuple):
-    """A slot whose attempt has ended here; the upstream may still work on it."""
-
-    key: int
-    until: float
-
-
 class UpstreamCapacity:
     """Grants permits for attempts and takes them back with their results.
 
@@ -105,7 +102,7 @@
         self.held = HeldLeases(number=time.time_ns() // 1_000_000)
         self.waiters: dict[str, deque[Waiter]] = defaultdict(deque)
         self.out: frozenset[str] = frozenset()
-        self.lingering: deque[LingeringSlot] = deque()
+        self.lingering: list[LingeringSlot] = []
         link.register(Kind.CAPACITY_REQUEST, self.receive_ask)
         link.register(Kind.CAPACITY_GRANT, self.receive_grants)
 
@@ -210,8 +207,8 @@
             self.rng,
         )
         if result in UNANSWERED:
-            until = anyio.current_time() + LINGER_SECONDS
-            self.lingering.append(LingeringSlot(key=key, until=until))
+            ended_at = anyio.current_time()
+            self.lingering.append(LingeringSlot(key=key, ended_at=ended_at))
         else:
             succeeded = result is AttemptResult.SUCCEEDED
             give_slot(self.held, key, succeeded=succeeded, cold=verdict.cold)
@@ -223,9 +220,13 @@
     def give_lingering(self) -> None:
         """Give back the slots of attempts that upstreams have stopped by now."""
         now = anyio.current_time()
-        while self.lingering and self.lingering[0].until <= now:
-            key = self.lingering.popleft().key
-            give_slot(self.held, key, succeeded=False, cold=False)
+        kept = []
+        for slot in self.lingering:
+            if can_return(slot, self.held, self.registry, now):
+                give_slot(self.held, slot.key, succeeded=False, cold=False)
+            else:
+                kept.append(slot)
+        self.lingering = kept
 
     def log_verdict(self, record: UpstreamRecord, verdict: Verdict) -> None:
         """Count and log what changed about an upstream."""
--- a/testing/coordination/test_leases.py
+++ b/testing/coordination/test_leases.py
@@ -15,6 +15,8 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from chervilstage.coordination.lease_holder import (
+    LINGER_SECONDS,
+    can_return,
     free_slots,
     may_still_send,
     receive_grant,
@@ -24,8 +26,17 @@
     note_ask,
     settle,
 )
+from chervilstage.coordination.ramp import STAGE_ENTRIES
 from chervilstage.state.capacity import Permit
-from chervilstage.state.leases import AskItem, GrantItem, HeldLease, LeaseBook
+from chervilstage.state.leases import (
+    AskItem,
+    GrantItem,
+    HeldLease,
+    HeldLeases,
+    LeaseBook,
+    LingeringSlot,
+)
+from chervilstage.state.registry import UpstreamRegistry
 from chervilstage.state.upstream_keys import upstream_key
 from testing.support.upstream_fakes import FakeGroup, record_of
 from testing.support.upstream_load import FakeLoad
@@ -234,3 +245,45 @@
         if may_still_send(permit, 100.0 + frozen):
             self.assertThat(frozen, LessThan(IN_FLIGHT_SECONDS))
         self.assertTrue(may_still_send(permit, 101.0))
+
+
+class LingeringSlotTests(TestCase):
+    """Guards against two requests that wait at an upstream which bears one.
+
+    A paused upstream reads what came meanwhile when it resumes, the requests that
+    entries have given up included.
+    """
+
+    ENDED = 100.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.record = record_of(1, slots=4)
+        self.registry = UpstreamRegistry()
+        self.registry.merge(self.record, self.ENDED - 1.0)
+        self.held = HeldLeases(number=1)
+        self.key = upstream_key(self.record.identity)
+        self.slot = LingeringSlot(key=self.key, ended_at=self.ENDED)
+        self.held.leases[self.key] = HeldLease(owner="e1", limit=1)
+
+    def can_return(self, after: float) -> bool:
+        """Tell whether the slot is free some seconds after its attempt ended."""
+        return can_return(self.slot, self.held, self.registry, self.ENDED + after)
+
+    def test_slot_of_a_ramping_upstream_waits_until_it_is_heard(self) -> None:
+        self.assertFalse(self.can_return(4.0))
+        self.registry.merge(self.record._replace(sequence=2), self.ENDED + 4.0)
+        self.assertFalse(self.can_return(4.0 + LINGER_SECONDS / 2))
+        self.assertTrue(self.can_return(4.0 + LINGER_SECONDS * 2))
+
+    def test_slot_of_a_warm_upstream_is_free_once_its_connection_is_closed(
+        self,
+    ) -> None:
+        warm = HeldLease(owner="e1", limit=1, stage=len(STAGE_ENTRIES) + 2)
+        self.held.leases[self.key] = warm
+        self.assertFalse(self.can_return(LINGER_SECONDS / 2))
+        self.assertTrue(self.can_return(LINGER_SECONDS * 2))
+
+    def test_slot_of_a_removed_upstream_is_free(self) -> None:
+        self.registry.remove(self.record.identity.address, self.ENDED)
+        self.assertTrue(self.can_return(LINGER_SECONDS * 2))
