Play a turn to cold without notice in the soak again

Leases let as many requests come as the upstream bore before. The stand-in counts those apart, no more of them than the capacity that the turn took away; each further request over the capacity of a cold stand-in breaks the promise as before.

--- a/src/chervilstage/coordination/standin.py
+++ b/src/chervilstage/coordination/standin.py
@@ -97,7 +97,11 @@
 
 
 def turn_cold(state: StandinState) -> None:
-    """Fall back to the capacity of a fresh start, without announcing it."""
+    """Fall back to the capacity of a fresh start, without announcing it.
+
+    The refusals tell of it. Entries may have as many requests under way as it bore.
+    """
+    state.unheralded = state.capacity - 1
     state.capacity = 1
     state.successes = 0
 
@@ -215,7 +219,10 @@
 
 
 def _count_excess(state: StandinState) -> None:
-    if is_cold(state):
+    if state.unheralded > 0:
+        state.unheralded -= 1
+        state.count(over_capacity_turned=1)
+    elif is_cold(state):
         state.count(over_capacity_cold=1)
     else:
         state.count(over_capacity_warm=1)
--- a/testing/soak/system.py
+++ b/testing/soak/system.py
@@ -217,8 +217,9 @@
             self.mark_killed(upstream)
             process.send_signal(signal.SIGSTOP)
             return lambda: process.send_signal(signal.SIGCONT)
-        # A turn to cold without notice stays out: what is in flight then is too much.
-        upstream.set_faults(silence_open=True, late_ms=LATE_MS, shed_share=SHED_SHARE)
+        upstream.set_faults(
+            silence_open=True, late_ms=LATE_MS, shed_share=SHED_SHARE, cold=True
+        )
         return lambda: upstream.set_faults(late_ms=0, shed_share=0)
 
     def mark_killed(self, upstream: Upstream) -> None:
