Bound the log lines of calls that control daemons refuse

The budget of lines that the relay of flows had is now a class of its own and bounds these lines too; the counter has all calls.

--- a/src/chervilstage/platform/control_calls.py
+++ b/src/chervilstage/platform/control_calls.py
@@ -24,6 +24,7 @@
 from ..transport.event_log import log_event
 from ..transport.feed_server import FeedServer
 from ..transport.http_connection import HttpRequest, HttpResponse
+from ..transport.log_budget import LogBudget
 from .documents import decode_heartbeat, decode_routing, label_of
 
 OPERATOR = "platform"
@@ -57,6 +58,7 @@
         self.data_centres = data_centres
         self.counters = counters
         self.durations = Histogram()
+        self.log_budget = LogBudget(counters=counters)
 
     def find(self, method: str, target: str) -> tuple[Handler, str]:
         """Return the handler of a call and the name in its path.
@@ -85,8 +87,9 @@
             body = await handler(name, request.body)
         except ChervilstageError as error:
             self.counters.add("platform_calls_refused", error.code)
-            log_event(
+            self.log_budget.log(
                 "platform_call_refused",
+                replica_clock(),
                 level=logging.WARNING,
                 call=f"{request.method} {request.target}",
                 code=error.code,
--- a/src/chervilstage/transport/relay_log.py
+++ b/src/chervilstage/transport/relay_log.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
 from math import isfinite
 from typing import Any
 
@@ -15,32 +14,14 @@
 from ..state.token_flows import TokenRelayState
 from ..state.types import UpstreamRecord
 from .event_log import log_event
-
-# A line costs about as much processor time as a packet.
-LINES_PER_SECOND = 25.0
-BURST_LINES = 50.0
+from .log_budget import LogBudget
 
 
 class RelayLog:
-    """Writes a line for each decision within a budget, and counts what it left out."""
+    """Writes a line for each decision within a budget."""
 
     def __init__(self, *, counters: Counters) -> None:
-        self.counters = counters
-        self.budget = BURST_LINES
-        self.spent_at = float("-inf")
-        self.left_out: Counter[str] = Counter()
-
-    def may_write(self, event: str, now: float) -> bool:
-        """Take a line from the budget, or count the one that is left out."""
-        earned = (now - self.spent_at) * LINES_PER_SECOND
-        self.budget = min(BURST_LINES, self.budget + earned)
-        self.spent_at = now
-        if self.budget >= 1.0:
-            self.budget -= 1.0
-            return True
-        self.left_out[event] += 1
-        self.counters.add("log_lines_left_out", event)
-        return False
+        self.budget = LogBudget(counters=counters)
 
     def decided(
         self,
@@ -50,7 +31,7 @@
         now: float,
     ) -> None:
         """Log what became of an opening packet, or why a flow was closed."""
-        if not self.may_write("flow_decided", now):
+        if not self.budget.may_write("flow_decided", now):
             return
         fields: dict[str, Any] = {
             "flow": f"{endpoint_text(packet.caller)}>{endpoint_text(packet.front)}",
@@ -75,7 +56,7 @@
         now: float,
     ) -> None:
         """Log a flow that was closed while its caller waited."""
-        if self.may_write("flow_closed", now):
+        if self.budget.may_write("flow_closed", now):
             silence = (
                 _silence(state, decision.upstream, now) if decision.upstream else {}
             )
@@ -90,7 +71,7 @@
         self, sender: tuple[str, int], error: ChervilstageError, now: float
     ) -> None:
         """Log a datagram that is no packet."""
-        if self.may_write("packet_refused", now):
+        if self.budget.may_write("packet_refused", now):
             log_event(
                 "packet_refused",
                 level=logging.WARNING,
@@ -99,11 +80,9 @@
                 reason=error,
             )
 
-    def flush(self, now: float) -> None:
+    def flush(self) -> None:
         """Log how many lines were left out since the last call."""
-        if self.left_out:
-            log_event("log_lines_left_out", **dict(self.left_out))
-            self.left_out.clear()
+        self.budget.flush()
 
 
 def endpoint_text(endpoint: Endpoint) -> str:
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -156,7 +156,7 @@
             sweep_flows(self.state, now)
             forget_old(self.state, now)
             self.release_held()
-            self.log.flush(now)
+            self.log.flush()
 
     async def start(self, group: TaskGroup) -> None:
         """Begin to relay."""
@@ -175,7 +175,7 @@
 
     async def stop(self) -> None:
         """Close the socket."""
-        self.log.flush(replica_clock())
+        self.log.flush()
         self.sock.close()
 
     def hooks(self) -> Hooks:
