Tell an announcement without news only from the replica that heard it

An item now carries the run of the replica that the upstream announced itself to, and a query the runs that the asker has heard in the last 1.5 s. Changes that matter to flows are told by every replica as before, so acknowledgements of leaving upstreams keep their meaning; a refresh is left out where its own replica tells it.

The new tests fail without the change.

--- a/src/chervilstage/coordination/upstream_feed.py
+++ b/src/chervilstage/coordination/upstream_feed.py
@@ -2,7 +2,8 @@
 
 An upstream announces itself to any replica. Entries and the other replicas ask each
 replica in turn for what has changed; what matters to new flows is told at once, the
-rest within a second.
+rest within a second. An announcement that changes nothing is told only by the replica
+that got it, unless the asker does not hear that one.
 """
 
 from __future__ import annotations
@@ -19,15 +20,22 @@
 DEPARTED_KEPT_SECONDS = 120.0
 
 
-def take_record(feed: UpstreamFeed, record: UpstreamRecord, heard_at: float) -> bool:
+def take_record(
+    feed: UpstreamFeed,
+    record: UpstreamRecord,
+    heard_at: float,
+    origin: int | None = None,
+) -> bool:
     """Take an announcement, or a record of another replica, and tell if it was new.
 
     :param heard_at: when the upstream was heard, in seconds of this replica's clock.
+    :param origin: the run of the replica that heard it, this one if left out.
     """
     before = feed.registry.records.get(record.identity.address)
     if not feed.registry.merge(record, heard_at):
         return False
     after = feed.registry.records.get(record.identity.address)
+    feed.origin[record.identity.address] = feed.run if origin is None else origin
     is_news = before is None or _is_news(before, after)
     _note_change(feed, record.identity.address, is_news)
     return True
@@ -47,7 +55,7 @@
     if item.is_gone:
         take_departure(feed, item.record, now)
     else:
-        take_record(feed, item.record, now - item.age_seconds)
+        take_record(feed, item.record, now - item.age_seconds, item.origin)
 
 
 def find_label(feed: UpstreamFeed, label: int) -> UpstreamRecord | None:
@@ -75,12 +83,11 @@
     cursor = query.cursor if query.run == feed.run else 0
     items = []
     for address, count in feed.changed.items():
-        if count <= cursor:
+        if count <= cursor or _comes_from_its_origin(feed, address, cursor, query):
             continue
         record = feed.registry.records.get(address)
         if record is not None:
-            age = now - feed.registry.heard_at[address]
-            items.append(FeedItem(record=record, age_seconds=age, is_gone=False))
+            items.append(_item(feed, record, now))
             continue
         departed = feed.registry.departed.get(address)
         if departed is not None:
@@ -92,11 +99,7 @@
 
 def all_items(feed: UpstreamFeed, now: float) -> list[FeedItem]:
     """Return all upstreams that are known."""
-    heard_at = feed.registry.heard_at
-    return [
-        FeedItem(record=record, age_seconds=now - heard_at[address], is_gone=False)
-        for address, record in feed.registry.records.items()
-    ]
+    return [_item(feed, record, now) for record in feed.registry.records.values()]
 
 
 def live_followers(feed: UpstreamFeed, now: float) -> list[Follower]:
@@ -122,7 +125,9 @@
             feed.changed.pop(address, None)
     registry.forget_departed(now - DEPARTED_KEPT_SECONDS)
     known = registry.records.keys() | registry.departed.keys()
-    feed.changed = {a: count for a, count in feed.changed.items() if a in known}
+    for counts in (feed.changed, feed.news_of, feed.origin):
+        for address in counts.keys() - known:
+            del counts[address]
     feed.followers = {
         name: follower
         for name, follower in feed.followers.items()
@@ -142,7 +147,27 @@
     feed.cursor += 1
     feed.changed[address] = feed.cursor
     if is_news:
-        feed.news = feed.cursor
+        feed.news = feed.news_of[address] = feed.cursor
+
+
+def _item(feed: UpstreamFeed, record: UpstreamRecord, now: float) -> FeedItem:
+    address = record.identity.address
+    return FeedItem(
+        record=record,
+        age_seconds=now - feed.registry.heard_at[address],
+        is_gone=False,
+        origin=feed.origin.get(address, 0),
+    )
+
+
+def _comes_from_its_origin(
+    feed: UpstreamFeed, address: Address, cursor: int, query: FeedQuery
+) -> bool:
+    """Tell whether a change without news reaches the asker by another replica."""
+    origin = feed.origin.get(address, 0)
+    if origin == feed.run or origin not in query.heard:
+        return False
+    return feed.news_of.get(address, 0) <= cursor
 
 
 def _is_news(before: UpstreamRecord, after: UpstreamRecord | None) -> bool:
--- a/src/chervilstage/protocol/feed_messages.py
+++ b/src/chervilstage/protocol/feed_messages.py
@@ -22,6 +22,7 @@
             cursor=query.cursor,
             revision=query.revision,
             waitSeconds=query.wait_seconds,
+            heard=sorted(query.heard),
         )
     )
 
@@ -40,6 +41,7 @@
             cursor=message.cursor,
             revision=message.revision,
             wait_seconds=message.waitSeconds,
+            heard=frozenset(message.heard),
         )
 
 
@@ -106,6 +108,7 @@
         write_record(place.record, item.record)
         place.ageSeconds = item.age_seconds
         place.isGone = item.is_gone
+        place.origin = item.origin
 
 
 def _read_item(message: Any) -> FeedItem:
@@ -113,4 +116,5 @@
         record=read_record(message.record),
         age_seconds=message.ageSeconds,
         is_gone=message.isGone,
+        origin=message.origin,
     )
--- a/src/chervilstage/protocol/schema/feed.capnp
+++ b/src/chervilstage/protocol/schema/feed.capnp
@@ -11,12 +11,14 @@
   cursor @3 :UInt64;
   revision @4 :UInt64;
   waitSeconds @5 :Float64;
+  heard @6 :List(UInt64);
 }
 
 struct FeedItem {
   record @0 :Upstreams.UpstreamRecord;
   ageSeconds @1 :Float64;
   isGone @2 :Bool;
+  origin @3 :UInt64;
 }
 
 struct FeedAnswer {
--- a/src/chervilstage/state/upstream_feed.py
+++ b/src/chervilstage/state/upstream_feed.py
@@ -10,11 +10,16 @@
 
 
 class FeedItem(NamedTuple):
-    """A record and how long ago the upstream announced it; ``is_gone`` if it left."""
+    """A record and how long ago the upstream announced it; ``is_gone`` if it left.
+
+    ``origin`` is the run of the replica that the upstream announced it to, 0 if that is
+    not known.
+    """
 
     record: UpstreamRecord
     age_seconds: float
     is_gone: bool
+    origin: int = 0
 
 
 class FeedQuery(NamedTuple):
@@ -22,7 +27,8 @@
 
     ``run`` and ``cursor`` are those of the last answer of this replica, 0 before the
     first. ``revision`` is the configuration that the sender has in force. The answer
-    may be held back for ``wait_seconds`` until there is news.
+    may be held back for ``wait_seconds`` until there is news. ``heard`` are the runs
+    of the replicas that have answered the sender lately.
     """
 
     sender: Peer
@@ -31,6 +37,7 @@
     cursor: int
     revision: int
     wait_seconds: float
+    heard: frozenset[int] = frozenset()
 
 
 class FeedAnswer(NamedTuple):
@@ -67,7 +74,9 @@
     """The upstreams that a control replica has heard of, and who follows them.
 
     ``cursor`` counts the changes; ``changed`` holds the count at which an address
-    changed last and ``news`` the last change that followers should hear of at once.
+    changed last and ``news`` the last change that followers should hear of at
+    once, ``news_of`` that of each address. ``origin`` is the run of the replica that
+    heard the newest announcement of an address.
 
     :param run: a random number that tells this run of the process from others.
     """
@@ -77,5 +86,7 @@
         self.cursor = 0
         self.news = 0
         self.changed: dict[Address, int] = {}
+        self.news_of: dict[Address, int] = {}
+        self.origin: dict[Address, int] = {}
         self.registry = UpstreamRegistry()
         self.followers: dict[str, Follower] = {}
--- a/src/chervilstage/transport/feed_follower.py
+++ b/src/chervilstage/transport/feed_follower.py
@@ -25,6 +25,8 @@
 # Longer than an election among the replicas.
 SILENT_SECONDS = 3.0
 REVIEW_SECONDS = 0.5
+# A replica that answers does so once a second at least.
+HEARD_SECONDS = 1.5
 
 TakeAnswer = Callable[[FeedAnswer], None]
 
@@ -61,6 +63,7 @@
         self.named: set[Address] = set()
         self.current_at = float("-inf")
         self.scopes: dict[Address, anyio.CancelScope] = {}
+        self.heard_at: dict[int, float] = {}
         self.rng = Random()
 
     def wanted(self) -> set[Address]:
@@ -78,6 +81,12 @@
         if answer.is_current or not self.named:
             self.named = {member.address for member in answer.replicas}
 
+    def heard(self) -> frozenset[int]:
+        """Return the runs of the replicas that have answered lately."""
+        since = replica_clock() - HEARD_SECONDS
+        self.heard_at = {run: at for run, at in self.heard_at.items() if at > since}
+        return frozenset(self.heard_at)
+
     async def follow(self, address: Address, scope: anyio.CancelScope) -> None:
         """Ask one replica until cancelled."""
         run, cursor = 0, 0
@@ -91,10 +100,12 @@
                     cursor=cursor,
                     revision=self.revision(),
                     wait_seconds=WAIT_SECONDS,
+                    heard=self.heard(),
                 )
                 try:
                     answer = await self.ask(address, query)
                 except ChervilstageError as error:
+                    self.heard_at.pop(run, None)
                     if not is_lost:
                         _log(address, "replica_lost", logging.WARNING, reason=error)
                     is_lost = True
@@ -104,6 +115,7 @@
                     _log(address, "replica_heard", logging.INFO, run=answer.run)
                 is_lost = False
                 run, cursor = answer.run, answer.cursor
+                self.heard_at[run] = replica_clock()
                 self.note(answer)
                 self.take(answer)
 
--- a/testing/coordination/test_upstream_feed.py
+++ b/testing/coordination/test_upstream_feed.py
@@ -17,11 +17,13 @@
     take_item,
     take_record,
 )
-from chervilstage.state.types import Address, Peer, UpstreamPhase
+from chervilstage.state.types import Address, Peer, UpstreamPhase, UpstreamRecord
 from chervilstage.state.upstream_feed import FeedItem, FeedQuery, UpstreamFeed
 from testing.support.token_relays import SERVICE, make_record
 
 RUN = 7
+OTHER_RUN = 8
+BOTH = frozenset({RUN, OTHER_RUN})
 
 
 def make_query(cursor: int, *, run: int = RUN, name: str = "entry-1") -> FeedQuery:
@@ -51,6 +53,34 @@
         take_record(self.feed, leaving, 2.0)
         self.assertTrue(has_news(self.feed, query))
 
+    def test_a_change_without_news_comes_from_the_replica_that_heard_it(self) -> None:
+        self.take_from(OTHER_RUN, make_record(1))
+        cursor = self.feed.cursor
+        self.take_from(OTHER_RUN, make_record(1, sequence=2))
+        hearing = make_query(cursor)._replace(heard=BOTH)
+        self.assertThat(items_since(self.feed, hearing, 1.0), HasLength(0))
+        cut_off = hearing._replace(heard=frozenset({RUN}))
+        self.assertThat(items_since(self.feed, cut_off, 1.0), HasLength(1))
+        take_record(self.feed, make_record(1, sequence=3), 1.0)
+        self.assertThat(items_since(self.feed, hearing, 1.0), HasLength(1))
+
+    def test_news_comes_from_every_replica(self) -> None:
+        hearing = make_query(0)._replace(heard=BOTH)
+        self.take_from(OTHER_RUN, make_record(1))
+        self.assertThat(items_since(self.feed, hearing, 1.0), HasLength(1))
+        cursor = self.feed.cursor
+        leaving = make_record(1, sequence=2, phase=UpstreamPhase.LEAVING)
+        self.take_from(OTHER_RUN, leaving)
+        self.take_from(OTHER_RUN, leaving._replace(sequence=3))
+        hearing = hearing._replace(cursor=cursor)
+        [item] = items_since(self.feed, hearing, 1.0)
+        self.assertThat(item.record.sequence, Equals(3))
+
+    def take_from(self, origin: int, record: UpstreamRecord) -> None:
+        """Take what another replica tells."""
+        item = FeedItem(record=record, age_seconds=0.0, is_gone=False, origin=origin)
+        take_item(self.feed, item, 0.5)
+
     def test_an_old_announcement_changes_nothing(self) -> None:
         take_record(self.feed, make_record(1, incarnation=5, sequence=9), 0.0)
         before = self.feed.cursor
