--- a/src/chervilstage/coordination/flows.py
+++ b/src/chervilstage/coordination/flows.py
@@ -73,9 +73,9 @@
     if proposal is None:
         return Drop(reason="no_upstream")
     peers = peers_to_ask(state, service, bucket_of(key), proposal, now)
-    heir = heir_of(state, service, bucket_of(key))
-    if heir is not None:
-        peers = [heir]
+    successor = successor_of(state, service, bucket_of(key))
+    if successor is not None:
+        peers = [successor]
     if not peers:
         number = state.view.identity.number
         pin = Pin(upstream=proposal, used_at=now, number=number)
@@ -89,7 +89,7 @@
         asked_at=float("-inf"),
         since=now,
         older=state.queries,
-        adopt=heir is not None,
+        adopt=successor is not None,
     )
     return ASK
 
@@ -100,7 +100,7 @@
     return [n for n in members.live() if n != state.name and members.is_staying(n)]
 
 
-def heir_of(state: FlowState, service: str, bucket: int) -> str | None:
+def successor_of(state: FlowState, service: str, bucket: int) -> str | None:
     """Return the peer that has taken over a bucket of this entry."""
     hand_over = state.hand_over
     if hand_over is None or not hand_over.is_handed(service, bucket):
--- a/src/chervilstage/coordination/hand_over.py
+++ b/src/chervilstage/coordination/hand_over.py
@@ -13,7 +13,7 @@
 from ..state.flow_table import Pin
 from ..state.view import bucket_of
 from .flow_effects import FlowEffect, SendPeer
-from .flows import heir_of, put_pin, staying_peers
+from .flows import put_pin, staying_peers, successor_of
 
 DIGEST_MASK = (1 << 24) - 1
 # A bucket is told whole; a page ends after the bucket that fills it.
@@ -63,11 +63,11 @@
     due: defaultdict[tuple[str, str], list[PinItem]] = defaultdict(list)
     for flow in list(hand_over.unacknowledged):
         pin = state.tables[flow.service].get(flow.key)
-        heir = heir_of(state, flow.service, bucket_of(flow.key))
-        if pin is None or heir is None:
+        successor = successor_of(state, flow.service, bucket_of(flow.key))
+        if pin is None or successor is None:
             del hand_over.unacknowledged[flow]
             continue
-        items = due[(heir, flow.service)]
+        items = due[(successor, flow.service)]
         if len(items) < ITEMS:
             items.append(
                 PinItem(
--- a/src/chervilstage/coordination/pin_queries.py
+++ b/src/chervilstage/coordination/pin_queries.py
@@ -10,7 +10,7 @@
 from ..state.types import UpstreamId
 from ..state.view import bucket_of
 from .flow_effects import FlowEffect, Release, SendPeer
-from .flows import choose_upstream_of, heir_of, place_flow, put_pin
+from .flows import choose_upstream_of, place_flow, put_pin, successor_of
 from .hand_over import adopt_pin, take_adopted
 
 # A packet is held for at most this long: within a lease of 1 s a peer answers or is
@@ -201,7 +201,7 @@
         state.exchange.hear(flow)
         put_pin(state, flow, best._replace(used_at=now), now)
         return [released]
-    if heir_of(state, flow.service, bucket_of(flow.key)) and state.hand_over:
+    if successor_of(state, flow.service, bucket_of(flow.key)) and state.hand_over:
         state.hand_over.unacknowledged[flow] = None
     number = max(pending.number, best.number if best else 0)
     put_pin(state, flow, Pin(upstream=upstream, used_at=now, number=number), now)
--- a/src/chervilstage/transport/control_daemon.py
+++ b/src/chervilstage/transport/control_daemon.py
@@ -13,7 +13,7 @@
 from ..state.entry_directory import EntryDirectory
 from ..state.types import Address, Peer
 from .application import Application
-from .control_parts import build_control_parts
+from .control_parts import ControlParts, build_control_parts
 from .control_server import ControlServer
 from .leader_calls import LeaderCalls
 from .metrics import metrics_hooks
@@ -33,12 +33,7 @@
     """
     name, host = settings["name"], settings["host"]
     counters = Counters()
-    syncs = Histogram(
-        "chervilstage_log_sync_seconds",
-        "Time for which a sync or a snapshot of the log has stalled the loop",
-        buckets=SYNC_BUCKETS,
-        registry=None,
-    )
+    syncs = sync_histogram()
     listed = peers_of(settings.get("replicas", []))
     parts = build_control_parts(
         own=Peer(
@@ -54,21 +49,7 @@
         counters=counters,
         observe_sync=syncs.observe,
     )
-    calls = OperatorCalls(
-        name=name,
-        driver=parts.driver,
-        formation=parts.formation,
-        entries=EntryDirectory(),
-    )
-    server = ControlServer(
-        operator_address=Address(host=host, port=settings["operator_port"]),
-        operator_key=operator_key,
-        calls=calls,
-        leader_calls=LeaderCalls(calls=calls, client=parts.client, frames=parts.frames),
-        frames=parts.frames,
-        tls=tls_context(settings),
-        counters=counters,
-    )
+    server = build_server(settings, operator_key, parts, counters)
     app = Application(name=name)
     app.add(
         metrics_hooks(
@@ -83,6 +64,43 @@
     return app
 
 
+def sync_histogram() -> Histogram:
+    """Return the metric of the time that the log takes from the loop."""
+    return Histogram(
+        "chervilstage_log_sync_seconds",
+        "Time for which a sync or a snapshot of the log has stalled the loop",
+        buckets=SYNC_BUCKETS,
+        registry=None,
+    )
+
+
+def build_server(
+    settings: ControlSettings,
+    operator_key: bytes,
+    parts: ControlParts,
+    counters: Counters,
+) -> ControlServer:
+    """Return the server of operators' calls.
+
+    :raises TlsFileError: the certificate or the key cannot be loaded.
+    """
+    calls = OperatorCalls(
+        name=settings["name"],
+        driver=parts.driver,
+        formation=parts.formation,
+        entries=EntryDirectory(),
+    )
+    return ControlServer(
+        operator_address=Address(host=settings["host"], port=settings["operator_port"]),
+        operator_key=operator_key,
+        calls=calls,
+        leader_calls=LeaderCalls(calls=calls, client=parts.client, frames=parts.frames),
+        frames=parts.frames,
+        tls=tls_context(settings),
+        counters=counters,
+    )
+
+
 def tls_context(settings: ControlSettings) -> ssl.SSLContext | None:
     """Return the TLS context of operators' connections, if the settings name one.
 
