Forget silence after a time without questions

Two other upstreams of that data centre had just been silent, so the next question found an upstream unanswered for ten seconds and closed the flow at once.

Ruled out: the cut of gl-huron, which had ended at 41 s and did not touch gl-erie; a lost announcement, which this rule does not ask for.

Questions and signs older than the longest suspicion, 4 s, are forgotten at the next one. The test fails without the change.

--- a/src/chervilstage/coordination/suspicion.py
+++ b/src/chervilstage/coordination/suspicion.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..state.token_flows import NEVER, Silence, TokenRelayState
+from ..state.token_flows import NEVER, Silence, TokenRelayState, UpstreamLoad
 from ..state.types import UpstreamRecord
 
 FIRST_SUSPICION_SECONDS = 0.5
@@ -26,8 +26,10 @@
 def note_question(state: TokenRelayState, record: UpstreamRecord, now: float) -> None:
     """Take note that an upstream has something to answer."""
     load = state.load_of(record)
+    _forget_old_silence(load, now)
     if load.asked_at <= load.answered_at:
         load.asked_at = now
+    load.questioned_at = now
 
 
 def note_answer(state: TokenRelayState, record: UpstreamRecord, now: float) -> None:
@@ -50,6 +52,7 @@
     :param flow: the flow whose packet came again.
     """
     load = state.load_of(record)
+    _forget_old_silence(load, now)
     if len(load.silent_flows) < UNREACHABLE_FLOWS:
         load.silent_flows.add(flow)
     if load.unanswered and now - load.silent_at < SIGNS_APART_SECONDS:
@@ -124,6 +127,17 @@
     return len(load.silent_flows) >= UNREACHABLE_FLOWS and _is_unheard(state, record)
 
 
+def _forget_old_silence(load: UpstreamLoad, now: float) -> None:
+    """Start over after a time without questions or signs of silence.
+
+    The fabric may have moved a flow, so that another entry saw its answer.
+    """
+    if now - max(load.questioned_at, load.silent_at) > LONGEST_SUSPICION_SECONDS:
+        load.asked_at = now
+        load.unanswered = 0
+        load.silent_flows.clear()
+
+
 def _is_unheard(state: TokenRelayState, record: UpstreamRecord) -> bool:
     """Tell whether an upstream has stopped announcing itself while others go on."""
     heard_at = state.registry.heard_at
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -56,7 +56,7 @@
     ``in_flight`` counts the flows that wait for it to open or to answer. ``latency``
     is the smoothed time from a request to its answer in seconds, 0 before the first.
     ``answered_at`` is when it last answered, ``asked_at`` when the first request or
-    opening packet after that went to it.
+    opening packet after that went to it, ``questioned_at`` when the last one did.
     ``unanswered`` counts the times at which packets stayed without an answer since the
     last sign of life, the first at ``suspect_since`` and the last at ``silent_at``;
     ``silent_flows`` are some of the flows of these packets. ``suspect_until`` is when
@@ -70,6 +70,7 @@
         "in_flight",
         "incarnation",
         "latency",
+        "questioned_at",
         "silent_at",
         "silent_flows",
         "suspect_since",
@@ -87,6 +88,7 @@
         self.unanswered = 0
         self.answered_at = NEVER
         self.asked_at = NEVER
+        self.questioned_at = NEVER
         self.silent_at = NEVER
         self.silent_flows: set[bytes] = set()
         self.suspect_since = NEVER
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -231,6 +231,15 @@
                 self.records[place] = record
                 self.relay.hear(record)
 
+    def doubt(self, data_centre: str) -> None:
+        """Let two other upstreams of a data centre be silent for a second."""
+        others = [make_record(n, data_centre=data_centre) for n in (5, 6)]
+        self.relay.hear(*others)
+        for record in others:
+            note_silence(self.relay.state, record, b"", self.relay.now)
+        self.relay.now += 1.0
+        self.relay.state.answered_at = self.relay.now
+
     def leave_unanswered(self, label: int, seconds: float) -> None:
         """Let time pass in which one upstream answers no opening packet."""
         end = self.relay.now + seconds
@@ -286,12 +295,7 @@
         """Found by a hunt: hunt-0ef1-39 of lsac-lanes, an open flow was reset."""
         caller, token = self.open_at(3)
         self.relay.now += 5.0
-        others = [make_record(n, data_centre="gl-huron") for n in (5, 6)]
-        self.relay.hear(*others)
-        for record in others:
-            note_silence(self.relay.state, record, b"", self.relay.now)
-        self.relay.now += 1.0
-        self.relay.state.answered_at = self.relay.now
+        self.doubt("gl-huron")
         asked = self.relay.send(caller, token=token, sequence=1, size=100)
         self.assertThat(asked, IsInstance(Forward))
         self.relay.now += 0.075
@@ -327,6 +331,26 @@
         closed = reset_stranded(self.relay.state, self.relay.now)
         self.assertThat(len(closed), Equals(2))
 
+    def test_silence_of_long_ago_closes_no_flow(self) -> None:
+        """Guards against a question that another entry saw answered.
+
+        Found on scale-2 of a grown deployment: a flow moved to another entry after its
+        question; ten seconds later the next question closed a flow at once.
+        """
+        moved, moved_token = self.open_at(1)
+        caller, token = self.open_at(1)
+        self.relay.now += 0.01
+        for _ in range(2):
+            self.relay.send(moved, token=moved_token, sequence=1, size=100)
+            self.relay.now += 0.4
+        self.relay.now += 10.0
+        self.doubt("gl-erie")
+        asked = self.relay.send(caller, token=token, sequence=1, size=100)
+        self.assertThat(asked, IsInstance(Forward))
+        self.relay.now += 0.1
+        closed = [key for key, _ in reset_stranded(self.relay.state, self.relay.now)]
+        self.assertThat(closed, Equals([]))
+
     def test_one_flow_that_gets_no_answer_closes_no_flow(self) -> None:
         """Guards against losses on a full link that count as a silent upstream.
 
