Test how long a leaving upstream waits for its acknowledgement

Only the decision had tests. These drive the server of the feed with entries that ask again and entries that don't; two of three fail without the wait.

--- /dev/null
+++ b/testing/transport/test_feed_server.py
@@ -0,0 +1,123 @@
+"""Acknowledgements of announcements on a control replica."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import anyio
+import pytest
+
+from chervilstage.coordination.upstream_feed import note_query, take_record
+from chervilstage.errors.upstreams import NoFollowerError
+from chervilstage.protocol.kinds import Kind
+from chervilstage.state.configuration import RoutingDocument
+from chervilstage.state.types import Address, Peer, UpstreamPhase
+from chervilstage.state.upstream_feed import FeedQuery, UpstreamFeed
+from chervilstage.transport import feed_server
+from chervilstage.transport.clock import replica_clock
+from chervilstage.transport.feed_server import SPREAD_SECONDS, FeedServer
+from chervilstage.transport.upstream_store import UpstreamStore
+from testing.support.token_relays import SERVICE, make_record
+
+RUN = 7
+LEAVING = make_record(1, sequence=2, phase=UpstreamPhase.LEAVING)
+
+
+class FakeFrames:
+    """Takes the place of the server that receives the queries."""
+
+    def serve(self, kind: Kind, handler: Callable[[str, bytes], Any]) -> None:
+        """Take no queries."""
+
+
+@pytest.fixture
+def server(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> FeedServer:
+    """Return a feed that knows one upstream and the service of it."""
+    routing = RoutingDocument(version=1, content=b"")
+    monkeypatch.setattr(feed_server, "newest_routing", lambda replica: routing)
+    server = FeedServer(
+        feed=UpstreamFeed(run=RUN),
+        driver=cast(Any, SimpleNamespace(replica=None)),
+        frames=cast(Any, FakeFrames()),
+        services_of=lambda document: frozenset({SERVICE}),
+        store=UpstreamStore(folder=tmp_path),
+    )
+    take_record(server.feed, make_record(1), replica_clock())
+    return server
+
+
+def ask(server: FeedServer, name: str, cursor: int) -> None:
+    """Let an entry ask for what came after a cursor."""
+    address = Address(host=name, port=1)
+    query = FeedQuery(
+        sender=Peer(name=name, data_centre="", address=address),
+        is_entry=True,
+        run=RUN,
+        cursor=cursor,
+        revision=0,
+        wait_seconds=1.0,
+    )
+    note_query(server.feed, query, replica_clock())
+    server.notify()
+
+
+def announce_leaving(server: FeedServer, *heard_by: str) -> list[bool]:
+    """Let an upstream leave; return whether that is acknowledged at three moments.
+
+    They are at once, when some entries have asked again, and after the longest wait.
+
+    :param heard_by: the entries that ask again.
+    """
+    moments = []
+
+    async def main() -> None:
+        acknowledged = anyio.Event()
+
+        async def announce() -> None:
+            await server.announce(LEAVING)
+            acknowledged.set()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(announce)
+            await anyio.wait_all_tasks_blocked()
+            moments.append(acknowledged.is_set())
+            for name in heard_by:
+                ask(server, name, server.feed.cursor)
+            await anyio.wait_all_tasks_blocked()
+            moments.append(acknowledged.is_set())
+            await anyio.sleep(2 * SPREAD_SECONDS)
+            moments.append(acknowledged.is_set())
+
+    anyio.run(main)
+    return moments
+
+
+def test_leaving_is_acknowledged_once_all_entries_have_heard(
+    server: FeedServer,
+) -> None:
+    """Guards against a new flow at an upstream that may leave already."""
+    ask(server, "entry-1", server.feed.cursor)
+    ask(server, "entry-2", server.feed.cursor)
+    assert announce_leaving(server, "entry-1", "entry-2") == [False, True, True]
+
+
+def test_an_entry_that_does_not_ask_again_delays_only_for_a_time(
+    server: FeedServer,
+) -> None:
+    """Guards against an early acknowledgement, and against one that never comes."""
+    ask(server, "entry-1", server.feed.cursor)
+    ask(server, "entry-2", server.feed.cursor)
+    assert announce_leaving(server, "entry-1") == [False, False, True]
+
+
+def test_nothing_is_acknowledged_while_no_entry_follows(server: FeedServer) -> None:
+    """Guards against a promise that nobody keeps."""
+
+    async def main() -> None:
+        with pytest.raises(NoFollowerError):
+            await server.announce(LEAVING)
+
+    anyio.run(main)
