--- a/src/chervilstage/coordination/standin.py
+++ b/src/chervilstage/coordination/standin.py
@@ -99,9 +99,10 @@
 def turn_cold(state: StandinState) -> None:
     """Fall back to the capacity of a fresh start, without announcing it.
 
-    The refusals tell of it. Entries may have as many requests under way as it bore.
+    Its refusals are the first notice that entries get, so they may use until then what
+    leases gave them for the capacity before.
     """
-    state.unheralded = state.capacity - 1
+    state.allowed_excess = state.capacity - 1
     state.capacity = 1
     state.successes = 0
 
@@ -219,8 +220,8 @@
 
 
 def _count_excess(state: StandinState) -> None:
-    if state.unheralded > 0:
-        state.unheralded -= 1
+    if state.allowed_excess > 0:
+        state.allowed_excess -= 1
         state.count(over_capacity_turned=1)
     elif is_cold(state):
         state.count(over_capacity_cold=1)
--- a/src/chervilstage/state/standin.py
+++ b/src/chervilstage/state/standin.py
@@ -85,8 +85,8 @@
     """What a stand-in upstream has seen and done.
 
     ``runs`` counts how often the work of each idempotency key was run, and
-    ``attempt_runs`` the same for each attempt that the load tool named. ``unheralded``
-    is how many requests over the capacity a turn to cold still excuses. ``ending`` says
+    ``attempt_runs`` the same for each attempt that the load tool named. ``allowed_excess``
+    is how many requests over the capacity still go back to a turn to cold. ``ending`` says
     that open feeds end now. Times are seconds of the clock that the decisions are
     given; 0 where nothing happened.
 
@@ -102,7 +102,7 @@
         self.warm_successes = warm_successes
         self.capacity = 1 if cold else slots
         self.successes = 0
-        self.unheralded = 0
+        self.allowed_excess = 0
         self.in_flight = 0
         self.most_in_flight = 0
         self.open_feeds = 0
