--- a/src/chervilstage/state/standin.py
+++ b/src/chervilstage/state/standin.py
@@ -85,10 +85,10 @@
     """What a stand-in upstream has seen and done.
 
     ``runs`` counts how often the work of each idempotency key was run, and
-    ``attempt_runs`` the same for each attempt that the load tool named. ``allowed_excess``
-    is how many requests over the capacity still go back to a turn to cold. ``ending`` says
-    that open feeds end now. Times are seconds of the clock that the decisions are
-    given; 0 where nothing happened.
+    ``attempt_runs`` the same for each attempt that the load tool named.
+    ``allowed_excess`` is how many requests over the capacity still go back to a turn
+    to cold. ``ending`` says that open feeds end now. Times are seconds of the clock
+    that the decisions are given; 0 where nothing happened.
 
     :param slots: how many requests it runs at once when warm.
     :param cold: whether it starts cold.
