Share the builders of the relay's bench and of feed queries

bench/tokens.py built the routing table and the records that testing/support/token_relays.py and bench/flow_states.py build already; two tests of the feed built the same query. The log store worked out the end of its log twice in a row. No behaviour changes.

--- a/bench/tokens.py
+++ b/bench/tokens.py
@@ -18,67 +18,32 @@
 from chervilstage.platform.packets import make_codec
 from chervilstage.state.counters import Counters
 from chervilstage.state.flow_packets import FlowPacket, Forward
-from chervilstage.state.routing import (
-    Route,
-    RoutedService,
-    Routing,
-    ServiceShare,
-    TrafficKind,
-    endpoint_of,
-)
+from chervilstage.state.routing import endpoint_of
 from chervilstage.state.token_flows import TokenRelayState
-from chervilstage.state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
+from chervilstage.state.types import Address
 from chervilstage.state.upstream_feed import FeedItem
 from chervilstage.transport.datagrams import bound_address, open_datagram_socket
 from chervilstage.transport.token_relay import TokenRelay
+from testing.support.token_relays import FRONT, SERVICE, make_routing
 
 from .figures import Figure
+from .flow_states import upstream_of
 from .transport import BURST, CALLERS, HOST, ROUNDS, drain
 
-SERVICE = "alley-desk"
-FRONT = Address(host="198.18.0.1", port=443)
 FLOWS = 10_000
 PACKETS = 100_000
 STARTS = 5
 SECONDS = 10
+IDLE_SECONDS = 60.0
 CALLER_PORT = 8172
 
 
 def relay_state(addresses: list[Address], cold_seconds: float = 0.0) -> TokenRelayState:
     """Return the state of an entry that knows upstreams at these addresses."""
     state = TokenRelayState(name="entry-1", announcement_seconds=1.0)
-    route = Route(
-        name="r",
-        address=FRONT,
-        kind=TrafficKind.IDEMPOTENT,
-        timeout_seconds=2.5,
-        objective_seconds=0.25,
-        priority=1,
-        shares=(ServiceShare(service=SERVICE, weight=1),),
-    )
-    service = RoutedService(
-        name=SERVICE,
-        health_path="/",
-        max_flows=2000,
-        cold_seconds=2.0,
-        cold_flows_per_second=0.0,
-    )
-    routing = Routing(
-        version=1, routes=(route,), services=(service,), flow_idle_seconds=60.0
-    )
-    put_routing(state, routing)
+    put_routing(state, make_routing(SERVICE)._replace(flow_idle_seconds=IDLE_SECONDS))
     records = [
-        UpstreamRecord(
-            identity=UpstreamId(address=address, incarnation=1, service=SERVICE),
-            request_address=address,
-            data_centre="gl-erie",
-            sequence=1,
-            phase=UpstreamPhase.READY,
-            slots=4,
-            load=0,
-            label=number,
-            cold_seconds=cold_seconds,
-        )
+        upstream_of(SERVICE, address)._replace(label=number, cold_seconds=cold_seconds)
         for number, address in enumerate(addresses, start=1)
     ]
     items = [FeedItem(record=r, age_seconds=0.0, is_gone=False) for r in records]
--- a/src/chervilstage/transport/log_store.py
+++ b/src/chervilstage/transport/log_store.py
@@ -180,9 +180,9 @@
         self._check_start(records.entries, path)
         self.ends = list(records.ends)
         self.file = self._open_log(self.meta.log_number, "r+b")
-        self.file.truncate(self.ends[-1] if self.ends else 0)
-        self.file.seek(0, os.SEEK_END)
         end = self.ends[-1] if self.ends else 0
+        self.file.truncate(end)
+        self.file.seek(0, os.SEEK_END)
         if len(data) == end == self.meta.synced_bytes:
             self.durable = (self.meta, self.snapshot, tuple(self.ends))
         else:
--- a/testing/coordination/test_upstream_feed.py
+++ b/testing/coordination/test_upstream_feed.py
@@ -17,25 +17,15 @@
     take_item,
     take_record,
 )
-from chervilstage.state.types import Address, Peer, UpstreamPhase, UpstreamRecord
-from chervilstage.state.upstream_feed import FeedItem, FeedQuery, UpstreamFeed
+from chervilstage.state.types import UpstreamPhase, UpstreamRecord
+from chervilstage.state.upstream_feed import FeedItem, UpstreamFeed
+from testing.support.feed_queries import RUN, make_query
 from testing.support.token_relays import SERVICE, make_record
 
-RUN = 7
 OTHER_RUN = 8
 BOTH = frozenset({RUN, OTHER_RUN})
 
 
-def make_query(cursor: int, *, run: int = RUN, name: str = "entry-1") -> FeedQuery:
-    """Return the query of an entry."""
-    peer = Peer(
-        name=name, data_centre="gl-erie", address=Address(host="10.0.0.1", port=1)
-    )
-    return FeedQuery(
-        sender=peer, is_entry=True, run=run, cursor=cursor, revision=0, wait_seconds=1.0
-    )
-
-
 class FeedTests(TestCase):
     """Guards against entries that miss a change of an upstream, or hear a false one."""
 
--- a/testing/transport/test_feed_server.py
+++ b/testing/transport/test_feed_server.py
@@ -14,15 +14,15 @@
 from chervilstage.errors.upstreams import NoFollowerError
 from chervilstage.protocol.kinds import Kind
 from chervilstage.state.configuration import RoutingDocument
-from chervilstage.state.types import Address, Peer, UpstreamPhase
-from chervilstage.state.upstream_feed import FeedQuery, UpstreamFeed
+from chervilstage.state.types import UpstreamPhase
+from chervilstage.state.upstream_feed import UpstreamFeed
 from chervilstage.transport import feed_server
 from chervilstage.transport.clock import replica_clock
 from chervilstage.transport.feed_server import SPREAD_SECONDS, FeedServer
 from chervilstage.transport.upstream_store import UpstreamStore
+from testing.support.feed_queries import RUN, make_query
 from testing.support.token_relays import SERVICE, make_record
 
-RUN = 7
 LEAVING = make_record(1, sequence=2, phase=UpstreamPhase.LEAVING)
 
 
@@ -51,16 +51,7 @@
 
 def ask(server: FeedServer, name: str, cursor: int) -> None:
     """Let an entry ask for what came after a cursor."""
-    address = Address(host=name, port=1)
-    query = FeedQuery(
-        sender=Peer(name=name, data_centre="", address=address),
-        is_entry=True,
-        run=RUN,
-        cursor=cursor,
-        revision=0,
-        wait_seconds=1.0,
-    )
-    note_query(server.feed, query, replica_clock())
+    note_query(server.feed, make_query(cursor, name=name), replica_clock())
     server.notify()
 
 
