Tell why an open flow was closed in a line that new flows cannot crowd out

Callers of the grown deployments saw open flows reset, and the log could not tell which of the possible reasons it was: the lines of closed flows shared a budget with those of new flows and named little of the flow and its upstream. The line now carries the held and the returned token, the upstream's incarnation and announcements, the silence of its data centre and the lateness of the loop.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -114,7 +114,8 @@
             reset = ResetFlow(
                 sequence=flow.acknowledged,
                 reason="upstream_unreachable",
-                upstream=flow.upstream,
+                is_open=True,
+                flow=flow,
             )
             found.append((key, reset))
     return found
@@ -184,11 +185,11 @@
     if services is None or packet.front not in state.routes:
         if state.routing is None:
             return DropPacket(reason="no_routing")
-        return ResetFlow(sequence=packet.acknowledged, reason="no_route")
+        return _reset_unheld(packet, "no_route")
     record = state.tokens.get(packet.token)
     if record is None:
         if packet.token in state.ended_tokens:
-            return ResetFlow(sequence=packet.acknowledged, reason="upstream_ended")
+            return _reset_unheld(packet, "upstream_ended")
         return DropPacket(reason="unknown_token")
     if record.identity.service not in services:
         return DropPacket(reason="foreign_token")
@@ -215,6 +216,7 @@
     state: TokenRelayState, flow: TokenFlow, packet: FlowPacket, now: float
 ) -> None:
     """Follow the requests in flight by the caller's half of the flow."""
+    flow.quiet_seconds = now - flow.seen_at
     flow.seen_at = now
     flow.acknowledged = packet.acknowledged
     load = state.load_of(flow.upstream)
@@ -277,10 +279,15 @@
 ) -> PacketDecision:
     _forget(state, key, flow)
     return ResetFlow(
-        sequence=packet.acknowledged, reason=reason, upstream=flow.upstream
+        sequence=packet.acknowledged, reason=reason, is_open=True, flow=flow
     )
 
 
+def _reset_unheld(packet: FlowPacket, reason: str) -> ResetFlow:
+    """Close a flow that may be open although this entry does not hold it."""
+    return ResetFlow(sequence=packet.acknowledged, reason=reason, is_open=True)
+
+
 def _forget(state: TokenRelayState, key: bytes, flow: TokenFlow) -> None:
     del state.flows[key]
     _finish_request(state, flow)
--- a/src/chervilstage/state/flow_packets.py
+++ b/src/chervilstage/state/flow_packets.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from .routing import Endpoint
-from .types import Address, UpstreamRecord
+from .token_flows import TokenFlow
+from .types import Address
 
 NUMBER_SPACE = 1 << 32
 
@@ -40,12 +41,14 @@
     """Tell the caller that its flow is closed.
 
     ``sequence`` is what the caller last acknowledged; ``reason`` is for the log, as is
-    the upstream of a flow that was open.
+    ``flow``, what this entry held of it, None if nothing. ``is_open`` tells whether
+    the caller may still hold the flow open.
     """
 
     sequence: int
     reason: str
-    upstream: UpstreamRecord | None = None
+    is_open: bool = False
+    flow: TokenFlow | None = None
 
 
 class DropPacket(NamedTuple):
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -13,7 +13,9 @@
 class TokenFlow:
     """A flow that this entry relays; times are in seconds of the entry's clock.
 
-    ``sent_at`` is when the opening packet was last sent on. ``busy_since`` is when
+    ``known_from`` is when this entry saw its first packet. ``seen_at`` is when the last
+    one came, ``quiet_seconds`` the time between the last two. ``sent_at`` is when the
+    opening packet was last sent on. ``busy_since`` is when
     the request that is not yet answered began, None while there is none;
     ``answered_up_to`` is what the caller had acknowledged then, ``acknowledged`` what
     it has by now. ``highest`` is the end of the bytes that the caller has sent.
@@ -28,6 +30,8 @@
         "highest",
         "is_closing",
         "is_open",
+        "known_from",
+        "quiet_seconds",
         "seen_at",
         "sent_at",
         "service",
@@ -40,6 +44,8 @@
         self.service = service
         self.is_open = False
         self.is_closing = False
+        self.known_from = now
+        self.quiet_seconds = 0.0
         self.seen_at = now
         self.sent_at = now
         self.busy_since: float | None = None
--- a/src/chervilstage/transport/relay_log.py
+++ b/src/chervilstage/transport/relay_log.py
@@ -11,10 +11,11 @@
 from ..state.counters import Counters
 from ..state.flow_packets import DropPacket, FlowPacket, Forward, ResetFlow
 from ..state.routing import Endpoint
-from ..state.token_flows import TokenRelayState
+from ..state.token_flows import NEVER, TokenFlow, TokenRelayState
 from ..state.types import UpstreamRecord
 from .event_log import log_event
 from .log_budget import LogBudget
+from .loop_lateness import LoopLateness
 
 
 class RelayLog:
@@ -22,6 +23,8 @@
 
     def __init__(self, *, counters: Counters) -> None:
         self.budget = LogBudget(counters=counters)
+        self.closings = LogBudget(counters=counters)
+        self.lateness = LoopLateness()
 
     def decided(
         self,
@@ -31,10 +34,15 @@
         now: float,
     ) -> None:
         """Log what became of an opening packet, or why a flow was closed."""
+        if isinstance(decision, ResetFlow) and decision.is_open:
+            self.closed(
+                state, packet.caller, packet.front, decision, now, token=packet.token
+            )
+            return
         if not self.budget.may_write("flow_decided", now):
             return
         fields: dict[str, Any] = {
-            "flow": f"{endpoint_text(packet.caller)}>{endpoint_text(packet.front)}",
+            "flow": flow_text(packet.caller, packet.front),
             "opening": packet.is_opening,
             "routing": state.routing.version if state.routing else 0,
         }
@@ -43,8 +51,6 @@
         else:
             kind = "reset" if isinstance(decision, ResetFlow) else "dropped"
             fields |= {"outcome": kind, "reason": decision.reason}
-            if isinstance(decision, ResetFlow) and decision.upstream:
-                fields |= _silence(state, decision.upstream, now)
         log_event("flow_decided", **fields)
 
     def closed(
@@ -54,18 +60,30 @@
         front: Endpoint,
         decision: ResetFlow,
         now: float,
+        token: int | None = None,
     ) -> None:
-        """Log a flow that was closed while its caller waited."""
-        if self.budget.may_write("flow_closed", now):
-            silence = (
-                _silence(state, decision.upstream, now) if decision.upstream else {}
-            )
-            log_event(
-                "flow_closed",
-                flow=f"{endpoint_text(caller)}>{endpoint_text(front)}",
-                reason=decision.reason,
-                **silence,
-            )
+        """Log that a flow was closed which its caller may have held open.
+
+        These lines have a budget of their own, so that those of new flows cannot
+        crowd them out.
+
+        :param token: the one in the packet that led to it, None if time did.
+        """
+        if not self.closings.may_write("flow_closed", now):
+            return
+        fields: dict[str, Any] = {
+            "flow": flow_text(caller, front),
+            "reason": decision.reason,
+            "by": "time" if token is None else "packet",
+            "packet_token": "none" if token is None else f"{token:08x}",
+            "routing": state.routing.version if state.routing else 0,
+            "routed": front in state.routes,
+            "loop_late_ms": milliseconds(self.lateness.worst(now)),
+        }
+        if decision.flow:
+            fields |= _flow_fields(decision.flow, now)
+            fields |= _upstream_fields(state, decision.flow.upstream, now)
+        log_event("flow_closed", **fields)
 
     def refused(
         self, sender: tuple[str, int], error: ChervilstageError, now: float
@@ -83,6 +101,12 @@
     def flush(self) -> None:
         """Log how many lines were left out since the last call."""
         self.budget.flush()
+        self.closings.flush()
+
+
+def flow_text(caller: Endpoint, front: Endpoint) -> str:
+    """Return a flow as the log lines name it."""
+    return f"{endpoint_text(caller)}>{endpoint_text(front)}"
 
 
 def endpoint_text(endpoint: Endpoint) -> str:
@@ -91,18 +115,46 @@
     return f"{host}:{int.from_bytes(endpoint[4:], 'big')}"
 
 
-def _silence(
+def _flow_fields(flow: TokenFlow, now: float) -> dict[str, Any]:
+    """Return what this entry held of a flow that is closed."""
+    busy_since = now if flow.busy_since is None else flow.busy_since
+    return {
+        "held_token": f"{flow_token(flow.upstream.identity):08x}",
+        "known_ms_ago": milliseconds(now - flow.known_from),
+        "quiet_ms": milliseconds(flow.quiet_seconds),
+        "busy_ms": milliseconds(now - busy_since),
+    }
+
+
+def _upstream_fields(
     state: TokenRelayState, record: UpstreamRecord, now: float
 ) -> dict[str, Any]:
     """Return what is known of the upstream of a flow that is closed."""
     load = state.load_of(record)
     address = record.identity.address
+    heard_at = state.registry.heard_at
+    current = state.registry.records.get(address)
+    silence = state.silences.get(record.data_centre)
     return {
         "upstream": f"{address.host}:{address.port}",
+        "incarnation": record.identity.incarnation,
+        "current": current.identity.incarnation if current else "none",
+        "phase": current.phase.value if current else "none",
+        "sequence": current.sequence if current else 0,
+        "heard_ms_ago": milliseconds(now - heard_at.get(address, NEVER)),
+        "others_heard_ms_ago": milliseconds(
+            now - max(heard_at.values(), default=NEVER)
+        ),
         "unanswered": load.unanswered,
+        "silent_flows": len(load.silent_flows),
         "answered_ms_ago": milliseconds(now - load.answered_at),
         "asked_ms_ago": milliseconds(now - load.asked_at),
         "in_flight": load.in_flight,
+        "data_centre": record.data_centre,
+        "out": record.data_centre in state.out,
+        "silent_upstreams": len(silence.addresses) if silence else 0,
+        "silence_ms": milliseconds(now - silence.since) if silence else "none",
+        "any_answered_ms_ago": milliseconds(now - state.answered_at),
     }
 
 
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -139,8 +139,10 @@
     async def watch_stranded(self) -> None:
         """Close flows whose callers wait in vain until cancelled."""
         while True:
+            due = replica_clock() + STRANDED_CHECK_SECONDS
             await anyio.sleep(STRANDED_CHECK_SECONDS)
             now = replica_clock()
+            self.log.lateness.note(due, now)
             if not self.state.silences:
                 continue
             for key, decision in reset_stranded(self.state, now):
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -77,10 +77,9 @@
         elsewhere = Address(host="198.18.0.9", port=443)
         put_routing(relay.state, make_routing(SERVICE, version=2, front=elsewhere))
         later = relay.send(40_001, token=opened.token or 0, acknowledged=77, size=10)
-        removed = ResetFlow(
-            sequence=77, reason="route_removed", upstream=make_record(1)
-        )
-        self.assertThat(later, Equals(removed))
+        self.assertThat(later, IsInstance(ResetFlow))
+        self.assertThat(later[:3], Equals((77, "route_removed", True)))
+        self.assertThat(later.flow.upstream, Equals(make_record(1)))
 
     def test_an_ended_upstream_resets_its_flows_after_a_moment(self) -> None:
         relay = RelayDriver(records=[make_record(1)])
--- /dev/null
+++ b/testing/transport/test_relay_log.py
@@ -0,0 +1,84 @@
+"""The log lines of the relay."""
+
+from __future__ import annotations
+
+import logging
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, HasLength
+
+from chervilstage.coordination.token_relay import relay_packet
+from chervilstage.state.counters import Counters
+from chervilstage.state.flow_packets import FlowPacket, ResetFlow
+from chervilstage.state.routing import endpoint_of
+from chervilstage.state.types import Address
+from chervilstage.transport.log_budget import BURST_LINES
+from chervilstage.transport.loop_lateness import KEPT_SECONDS, LoopLateness
+from chervilstage.transport.relay_log import RelayLog
+from testing.support.token_relays import FRONT, RelayDriver, make_record
+
+
+class LinesOfClosedFlowsTests(TestCase):
+    """Guards against closed flows that nobody can explain afterwards."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.lines: list[dict[str, object]] = []
+        handler = logging.Handler()
+        handler.emit = lambda record: self.lines.append(record.msg)  # type: ignore
+        logger = logging.getLogger("chervilstage")
+        logger.addHandler(handler)
+        self.addCleanup(logger.removeHandler, handler)
+        level = logger.level
+        logger.setLevel(logging.INFO)
+        self.addCleanup(logger.setLevel, level)
+
+    def test_lines_of_new_flows_do_not_crowd_out_the_line_of_a_closed_one(self) -> None:
+        relay = RelayDriver(records=[make_record(1)])
+        log = RelayLog(counters=Counters())
+        opening = make_packet(is_opening=True)
+        for _ in range(int(BURST_LINES) + 1):
+            decision = relay_packet(relay.state, opening, relay.now, relay.rng)
+            log.decided(relay.state, opening, decision, relay.now)
+        opened = relay.open(40_001)
+        relay.hear(make_record(1, incarnation=2))
+        relay.now += 0.5
+        packet = make_packet(token=opened.token or 0)
+        decision = relay_packet(relay.state, packet, relay.now, relay.rng)
+        self.assertThat(isinstance(decision, ResetFlow), Equals(True))
+        log.decided(relay.state, packet, decision, relay.now)
+        closed = [line for line in self.lines if line["event"] == "flow_closed"]
+        self.assertThat(closed, HasLength(1))
+        line = closed[0]
+        self.assertThat(line["reason"], Equals("upstream_ended"))
+        self.assertThat(line["by"], Equals("packet"))
+        self.assertThat(line["held_token"], Equals(line["packet_token"]))
+        self.assertThat((line["incarnation"], line["current"]), Equals((1, 2)))
+        for name in ("quiet_ms", "heard_ms_ago", "answered_ms_ago", "loop_late_ms"):
+            self.assertThat(line, Contains(name))
+
+
+class LoopLatenessTests(TestCase):
+    """Guards against a pause of the loop that does not show, or shows for ever."""
+
+    def test_the_worst_delay_shows_until_it_is_old(self) -> None:
+        lateness = LoopLateness()
+        lateness.note(10.0, 11.5)
+        lateness.note(11.7, 11.8)
+        self.assertThat(lateness.worst(12.0), Equals(1.5))
+        self.assertThat(lateness.worst(11.5 + KEPT_SECONDS + 0.1), Equals(0.0))
+
+
+def make_packet(*, is_opening: bool = False, token: int = 0) -> FlowPacket:
+    """Return a packet of one caller."""
+    return FlowPacket(
+        caller=endpoint_of(Address(host="100.64.0.1", port=40_001)),
+        front=endpoint_of(FRONT),
+        is_opening=is_opening,
+        is_ending=False,
+        is_reset=False,
+        sequence=1,
+        acknowledged=0,
+        size=0,
+        token=token,
+    )
