--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -275,6 +275,22 @@
         self.let_announce(1, 2, 3, 4)
         self.assertThat(reset_stranded(self.relay.state, self.relay.now), Equals([]))
 
+    def test_an_upstream_beside_silent_ones_keeps_the_flow_whose_packets_are_lost(
+        self,
+    ) -> None:
+        """Guards against a reset of an open flow whose upstream announces itself."""
+        caller, token = self.open_at(3)
+        self.relay.now += 3.0
+        self.doubt("gl-huron")
+        self.relay.send(caller, token=token, sequence=1, size=100)
+        for passed in (0.2, 0.4, 0.8, 1.6):
+            self.relay.now += passed
+            self.let_announce(1, 2, 3, 4)
+            self.relay.state.answered_at = self.relay.now
+            again = self.relay.send(caller, token=token, sequence=1, size=100)
+            self.assertThat(again, IsInstance(Forward))
+            self.assertThat(again.label, Equals(3))
+
     def test_an_upstream_that_answers_anything_keeps_its_flows(self) -> None:
         caller, token = self.open_at(1)
         busy, busy_token = self.open_at(1)
