Take an upstream for ended only by its own word

Callers could get a reset of an open flow although its upstream lives: an entry forgets an upstream after 90 s of silence and noted that as an end; a replica told entries that the upstreams of a dropped service had ended; and an entry that has started with an older routing table reset packets on a route that it has never had.

Cause and class are those of the resets on silence: an act that can't be taken back, on a sign that is no proof. Found by reading every place that closes or forgets a flow.

Change: forgetting tells nobody of an end, a flow whose upstream is not known to have ended goes on to it (the label keeps its packets from a later owner of the address), and packets on a route that the table never had are dropped; opening packets there are refused as before.

Measured: three tests fail on the code before and pass now.

--- a/src/chervilstage/coordination/relay_directory.py
+++ b/src/chervilstage/coordination/relay_directory.py
@@ -67,11 +67,14 @@
 
 
 def forget_old(state: TokenRelayState, now: float) -> None:
-    """Forget upstreams that have been silent for long, and old ends."""
+    """Forget upstreams that have been silent for long, and old ends.
+
+    Silence is no proof of an end, so the flows of a forgotten upstream stay open.
+    """
     registry = state.registry
     old = [a for a, at in registry.heard_at.items() if now - at > FORGOTTEN_SECONDS]
     for address in old:
-        _note_end(state, registry.remove(address, now), now)
+        registry.remove(address, now)
     registry.forget_departed(now - ENDED_TOKEN_SECONDS)
     state.ended_tokens = {
         token: at
--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -23,7 +23,7 @@
     ResetFlow,
     is_after,
 )
-from ..state.token_flows import NEVER, TokenFlow, TokenRelayState, UpstreamLoad
+from ..state.token_flows import TokenFlow, TokenRelayState, UpstreamLoad
 from .flow_tokens import flow_token
 from .placement import choose_service, choose_upstream
 from .suspicion import note_answer, note_question, note_silence
@@ -146,10 +146,10 @@
 ) -> TokenFlow | PacketDecision:
     """Return the open flow of a packet by the token that its caller returns."""
     services = state.services_of.get(packet.front)
-    if services is None or packet.front not in state.routes:
-        if state.routing is None:
-            return DropPacket(reason="no_routing")
-        return _reset_unheld(packet, "no_route")
+    if services is None:
+        return DropPacket(reason="unknown_route" if state.routing else "no_routing")
+    if packet.front not in state.routes:
+        return _reset_unheld(packet, "route_removed")
     record = state.tokens.get(packet.token)
     if record is None:
         if packet.token in state.ended_tokens:
@@ -234,8 +234,8 @@
     current = state.registry.records.get(address)
     if current is not None and current.identity.incarnation == incarnation:
         return False
-    ended_at = state.ended_tokens.get(flow_token(flow.upstream.identity), NEVER)
-    return now - ended_at > ENDING_SECONDS
+    ended_at = state.ended_tokens.get(flow_token(flow.upstream.identity))
+    return ended_at is not None and now - ended_at > ENDING_SECONDS
 
 
 def _end_flow(
--- a/src/chervilstage/coordination/upstream_feed.py
+++ b/src/chervilstage/coordination/upstream_feed.py
@@ -121,8 +121,7 @@
     registry = feed.registry
     for address, heard_at in list(registry.heard_at.items()):
         if now - heard_at > SILENT_KEPT_SECONDS:
-            registry.remove(address, now)
-            feed.changed.pop(address, None)
+            _forget(feed, address, now)
     registry.forget_departed(now - DEPARTED_KEPT_SECONDS)
     known = registry.records.keys() | registry.departed.keys()
     for counts in (feed.changed, feed.news_of, feed.origin):
@@ -136,11 +135,20 @@
 
 
 def keep_services(feed: UpstreamFeed, services: Iterable[str], now: float) -> None:
-    """Forget upstreams of services that the configuration does not know."""
+    """Forget upstreams of services that the configuration does not know.
+
+    Nobody is told: they have not ended, and may hold flows that were opened before.
+    """
     known = set(services)
     for record in list(feed.registry.records.values()):
         if record.identity.service not in known:
-            take_departure(feed, record, now)
+            _forget(feed, record.identity.address, now)
+
+
+def _forget(feed: UpstreamFeed, address: Address, now: float) -> None:
+    """Remove an upstream without telling that it has ended."""
+    feed.registry.remove(address, now)
+    feed.changed.pop(address, None)
 
 
 def _note_change(feed: UpstreamFeed, address: Address, is_news: bool) -> None:
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Equals, IsInstance, Not
 
 from chervilstage.coordination.flow_tokens import flow_token
-from chervilstage.coordination.relay_directory import put_routing
+from chervilstage.coordination.relay_directory import forget_old, put_routing
 from chervilstage.coordination.suspicion import (
     is_suspect,
     note_answer,
@@ -92,6 +92,25 @@
             relay.send(40_001, token=opened.token or 0), IsInstance(ResetFlow)
         )
 
+    def test_an_upstream_that_is_forgotten_keeps_its_flows(self) -> None:
+        """Guards against long silence that counts as an end."""
+        relay = RelayDriver(records=[make_record(1)])
+        opened = relay.open(40_001)
+        for _ in range(12):
+            relay.now += 10.0
+            forget_old(relay.state, relay.now)
+            later = relay.send(40_001, token=opened.token or 0, size=10)
+            self.assertThat(later, IsInstance(Forward))
+        self.assertThat(relay.state.registry.records, Equals({}))
+
+    def test_a_route_that_the_table_never_had_closes_no_flow(self) -> None:
+        """Guards against a reset by an entry that has started with an old table."""
+        relay = RelayDriver(records=[make_record(1)])
+        newer = Address(host="198.18.0.9", port=443)
+        token = flow_token(make_record(1).identity)
+        decision = relay.send(40_001, token=token, size=10, front=newer)
+        self.assertThat(decision, Equals(DropPacket(reason="unknown_route")))
+
     def test_an_address_that_changed_hands_gets_no_packet_of_the_old_flow(self) -> None:
         relay = RelayDriver(records=[make_record(1)])
         opened = relay.open(40_001)
--- a/testing/coordination/test_upstream_feed.py
+++ b/testing/coordination/test_upstream_feed.py
@@ -124,6 +124,12 @@
         keep_services(self.feed, [SERVICE], 1.0)
         self.assertThat(self.feed.registry.records, HasLength(1))
 
+    def test_a_service_that_is_dropped_ends_no_flow_of_its_upstreams(self) -> None:
+        """Guards against an end that is told without the upstream's word."""
+        take_record(self.feed, make_record(1, service="league-ledger"), 0.0)
+        keep_services(self.feed, [SERVICE], 1.0)
+        self.assertThat(items_since(self.feed, make_query(0), 1.0), Equals([]))
+
     def test_a_label_finds_the_newest_run(self) -> None:
         take_record(self.feed, make_record(1, incarnation=2), 0.0)
         found = find_label(self.feed, 1)
