Fetch the routing table from one replica instead of sending it in each feed answer

Cause: each of five replicas put the whole table of a new revision into its feed answer. All queries of an entry are open with the old revision, so its link of some 3.6 Mbit/s had to carry five copies at once. The entry gave all queries up, asked again with the same revision, and all transfers began anew, for as long as revisions differed; no news of upstreams came through meanwhile. Every smaller change filled the link too, for a shorter time.

Ruled out for these cases: packets that waited after a timely decision.

Change: the feed tells the revision, the version of the table and the data centres that are out; the latter are put in force at once. An entry fetches the table, compressed, from the replica that told of it last, and from another one with more time after a failure. Queries go on meanwhile. A query now names the newest revision that the entry has been told of, so that replicas do not answer it again and again while the table is on its way.

--- a/src/chervilstage/errors/upstreams.py
+++ b/src/chervilstage/errors/upstreams.py
@@ -48,3 +48,11 @@
     code = "CS-UPSTREAM-006"
     template = "no routing table is known yet"
     retryable = True
+
+
+class RoutingNotHeldError(ChervilstageError):
+    """A replica does not have the routing table that it told of."""
+
+    code = "CS-UPSTREAM-007"
+    template = "the replica does not have version {version} of the routing table"
+    retryable = True
--- a/src/chervilstage/protocol/kinds.py
+++ b/src/chervilstage/protocol/kinds.py
@@ -46,3 +46,4 @@
     EXPLAIN_FLOW = 102
 
     UPSTREAM_FEED = 120
+    ROUTING_FETCH = 121
--- /dev/null
+++ b/src/chervilstage/protocol/routing_messages.py
@@ -0,0 +1,51 @@
+"""Encoding of the routing table that a control replica sends to an entry."""
+
+from __future__ import annotations
+
+import zlib
+
+from ..errors.access import EnvelopeFormatError
+from ..state.configuration import RoutingDocument
+from .schemas import pack, reading, schema, unpack
+
+COMPRESSION_LEVEL = 6
+MAXIMUM_TABLE_BYTES = 64 * 1024 * 1024
+
+
+def encode_routing_query(version: int) -> bytes:
+    """Return the encoding of a query for a version or a later one."""
+    return pack(schema("feed").RoutingQuery.new_message(version=version))
+
+
+def decode_routing_query(data: bytes) -> int:
+    """Decode a query.
+
+    :raises EnvelopeFormatError: the bytes are no query.
+    """
+    with reading():
+        version: int = unpack(schema("feed").RoutingQuery, data).version
+        return version
+
+
+def encode_routing_table(document: RoutingDocument) -> bytes:
+    """Return the compressed encoding of a routing table."""
+    content = zlib.compress(document.content, COMPRESSION_LEVEL)
+    return pack(
+        schema("feed").RoutingTable.new_message(
+            version=document.version, content=content
+        )
+    )
+
+
+def decode_routing_table(data: bytes) -> RoutingDocument:
+    """Decode a routing table.
+
+    :raises EnvelopeFormatError: the bytes are no table, or one that is too large.
+    """
+    with reading():
+        message = unpack(schema("feed").RoutingTable, data)
+        inflater = zlib.decompressobj()
+        content = inflater.decompress(message.content, MAXIMUM_TABLE_BYTES)
+        if not inflater.eof:
+            raise EnvelopeFormatError(reason="incomplete or too large")
+        return RoutingDocument(version=message.version, content=content)
--- a/src/chervilstage/protocol/schema/feed.capnp
+++ b/src/chervilstage/protocol/schema/feed.capnp
@@ -26,13 +26,20 @@
   cursor @1 :UInt64;
   revision @2 :UInt64;
   isCurrent @3 :Bool;
-  hasConfiguration @4 :Bool;
-  routingVersion @5 :UInt64;
-  routing @6 :Data;
-  out @7 :List(Text);
-  items @8 :List(FeedItem);
-  replicas @9 :List(Consensus.ReplicaMember);
-  entries @10 :List(Text);
+  routingVersion @4 :UInt64;
+  out @5 :List(Text);
+  items @6 :List(FeedItem);
+  replicas @7 :List(Consensus.ReplicaMember);
+  entries @8 :List(Text);
+}
+
+struct RoutingQuery {
+  version @0 :UInt64;
+}
+
+struct RoutingTable {
+  version @0 :UInt64;
+  content @1 :Data;
 }
 
 struct SavedUpstreams {
--- a/src/chervilstage/state/upstream_feed.py
+++ b/src/chervilstage/state/upstream_feed.py
@@ -26,7 +26,7 @@
     """A query of an entry or a replica for what is new.
 
     ``run`` and ``cursor`` are those of the last answer of this replica, 0 before the
-    first. ``revision`` is the configuration that the sender has in force. The answer
+    first. ``revision`` is the newest one that the sender has been told of. The answer
     may be held back for ``wait_seconds`` until there is news. ``heard`` are the runs
     of the replicas that have answered the sender lately.
     """
@@ -44,18 +44,15 @@
     """What is new since a query's cursor.
 
     ``is_current`` tells that the replica follows a leader that has a majority, so its
-    configuration is at most a moment old. ``routing`` and ``out`` belong to
-    ``revision`` and are left out, with ``has_configuration`` false, where the sender
-    has that revision already.
+    configuration is at most a moment old. ``routing_version`` (0 if there is no table)
+    and ``out`` belong to ``revision``; the table itself is fetched from one replica.
     """
 
     run: int
     cursor: int
     revision: int
     is_current: bool
-    has_configuration: bool
     routing_version: int
-    routing: bytes
     out: frozenset[str]
     items: tuple[FeedItem, ...]
     replicas: tuple[ReplicaMember, ...]
--- a/src/chervilstage/transport/feed_follower.py
+++ b/src/chervilstage/transport/feed_follower.py
@@ -28,7 +28,7 @@
 # A replica that answers does so once a second at least.
 HEARD_SECONDS = 1.5
 
-TakeAnswer = Callable[[FeedAnswer], None]
+TakeAnswer = Callable[[Address, FeedAnswer], None]
 
 
 class FeedFollower:
@@ -40,8 +40,8 @@
     :param own: this process.
     :param is_entry: whether this process is an entry.
     :param listed: returns where the replicas of the settings take frames.
-    :param revision: returns the revision of the configuration in force here.
-    :param take: called with each answer.
+    :param revision: returns the newest revision that this process has been told of.
+    :param take: called with the address of a replica and its answer.
     """
 
     def __init__(
@@ -117,7 +117,7 @@
                 run, cursor = answer.run, answer.cursor
                 self.heard_at[run] = replica_clock()
                 self.note(answer)
-                self.take(answer)
+                self.take(address, answer)
 
     async def ask(self, address: Address, query: FeedQuery) -> FeedAnswer:
         """Send one query.
--- a/src/chervilstage/transport/feed_server.py
+++ b/src/chervilstage/transport/feed_server.py
@@ -34,13 +34,14 @@
 from ..protocol.kinds import Kind
 from ..state.configuration import Configuration, RoutingDocument
 from ..state.registry import is_leaving
-from ..state.types import UpstreamRecord
+from ..state.types import Address, UpstreamRecord
 from ..state.upstream_feed import FeedAnswer, FeedQuery, UpstreamFeed
 from .application import Hooks
 from .clock import replica_clock
 from .event_log import log_event
 from .frame_channel import FrameServer
 from .replica_driver import ReplicaDriver
+from .routing_server import serve_routing
 from .upstream_store import UpstreamStore
 
 MAXIMUM_WAIT_SECONDS = 5.0
@@ -75,6 +76,7 @@
         self.saved = 0
         self.known_services: tuple[int, frozenset[str]] | None = None
         frames.serve(Kind.UPSTREAM_FEED, self.answer)
+        serve_routing(frames, lambda: self.configuration.routing)
 
     @property
     def configuration(self) -> Configuration:
@@ -137,7 +139,7 @@
             while not has_spread(self.feed, cursor, replica_clock()):
                 await self.changed.wait()
 
-    def take_answer(self, answer: FeedAnswer) -> None:
+    def take_answer(self, address: Address, answer: FeedAnswer) -> None:
         """Take what another replica has heard of upstreams."""
         now = replica_clock()
         news = self.feed.news
@@ -166,18 +168,15 @@
         """Return the answer to a query."""
         now = replica_clock()
         replica, configuration = self.driver.replica, self.configuration
-        is_newer = query.is_entry and configuration.revision > query.revision
-        routing = configuration.routing if is_newer else None
+        routing = configuration.routing
         followers = live_followers(self.feed, now)
         return FeedAnswer(
             run=self.feed.run,
             cursor=self.feed.cursor,
             revision=configuration.revision,
             is_current=knows_majority(replica, now),
-            has_configuration=is_newer,
             routing_version=routing.version if routing else 0,
-            routing=routing.content if routing else b"",
-            out=configuration.out if is_newer else frozenset(),
+            out=configuration.out,
             items=tuple(items_since(self.feed, query, now)),
             replicas=replica.members.members,
             entries=tuple(sorted(f.peer.name for f in followers)),
--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 from ..coordination.relay_directory import put_out, put_routing, take_items
 from ..coordination.suspicion import reaches_nobody
@@ -18,6 +19,7 @@
 from .event_log import log_event
 from .feed_follower import FeedFollower
 from .frame_channel import FrameClient
+from .routing_fetcher import RoutingFetcher
 from .token_relay import PacketCodec, TokenRelay
 
 # Longer than a query at a replica that works.
@@ -26,6 +28,16 @@
 DecodeRouting = Callable[[RoutingDocument], Routing]
 
 
+class ConfigurationTold(NamedTuple):
+    """The newest revision that a replica has told of, and its routing table.
+
+    The table may be on its way still; data centres are taken out without it.
+    """
+
+    revision: int = 0
+    routing_version: int = 0
+
+
 class TokenEntry:
     """Puts what the control replicas say in force, and tells whether it is ready.
 
@@ -54,6 +66,7 @@
         )
         self.decode_routing = decode_routing
         self.revision = 0
+        self.told = ConfigurationTold()
         self.is_stopping = False
         self.was_ready = False
         self.frames = FrameClient(name=own.name, key=key, counters=counters)
@@ -61,19 +74,30 @@
             own=own,
             is_entry=True,
             listed=listed,
-            revision=lambda: self.revision,
+            revision=lambda: self.told.revision,
             take=self.take,
             frames=self.frames,
         )
+        self.fetcher = RoutingFetcher(
+            frames=self.frames, held=self.routing_version, take=self.take_routing
+        )
         self.relay = TokenRelay(
             address=relay_address, state=self.state, codec=codec, counters=counters
         )
 
-    def take(self, answer: FeedAnswer) -> None:
+    def routing_version(self) -> int:
+        """Return the version of the routing table in force, 0 if there is none."""
+        return self.state.routing.version if self.state.routing else 0
+
+    def take(self, address: Address, answer: FeedAnswer) -> None:
         """Take an answer of a control replica; the configuration never goes back."""
         state = self.state
-        if answer.has_configuration and answer.revision > self.revision:
-            self.put_configuration(answer)
+        if answer.revision > self.told.revision:
+            self.told = ConfigurationTold(answer.revision, answer.routing_version)
+            if answer.out != state.out:
+                put_out(state, answer.out)
+            self.settle()
+        self.fetcher.note(address, answer.routing_version)
         now = replica_clock()
         for record in take_items(state, answer.items, now):
             address, incarnation, service = record.identity
@@ -95,23 +119,26 @@
             self.relay.release_held()
         self.is_ready()
 
-    def put_configuration(self, answer: FeedAnswer) -> None:
-        """Put a newer configuration in force."""
-        state = self.state
-        held = state.routing.version if state.routing else 0
-        if answer.routing_version > held:
-            document = RoutingDocument(
-                version=answer.routing_version, content=answer.routing
-            )
-            put_routing(state, self.decode_routing(document))
-        if answer.out != state.out:
-            put_out(state, answer.out)
-        self.revision = answer.revision
+    def take_routing(self, document: RoutingDocument) -> None:
+        """Put a newer routing table in force."""
+        if document.version > self.routing_version():
+            put_routing(self.state, self.decode_routing(document))
+            self.settle()
+        if self.relay.held:
+            self.relay.release_held()
+        self.is_ready()
+
+    def settle(self) -> None:
+        """Take note that all of a revision is in force once its table is held."""
+        revision, version = self.told
+        if revision == self.revision or self.routing_version() < version:
+            return
+        self.revision = revision
         log_event(
             "configuration_in_force",
-            revision=answer.revision,
-            routing=answer.routing_version,
-            out=",".join(sorted(answer.out)) or "none",
+            revision=revision,
+            routing=self.routing_version(),
+            out=",".join(sorted(self.state.out)) or "none",
         )
 
     def is_ready(self) -> bool:
@@ -149,7 +176,8 @@
         state = self.state
         return {
             "revision_in_force": self.revision,
-            "routing_version": state.routing.version if state.routing else 0,
+            "revision_told": self.told.revision,
+            "routing_version": self.routing_version(),
             "entry_ready": float(self.is_ready()),
             "flows_held": len(state.flows),
             "upstreams_known": len(state.registry.records),
@@ -164,8 +192,12 @@
             "request_seconds": self.state.latencies,
         }
 
+    def following(self) -> tuple[FeedFollower, RoutingFetcher]:
+        """Return the parts that ask the control replicas."""
+        return self.follower, self.fetcher
+
     def add_to(self, app: Application) -> None:
         """Register all parts; readiness drains first."""
-        for part in (self.frames, self.relay, self.follower):
+        for part in (self.frames, self.relay, *self.following()):
             app.add(part.hooks())
         app.add(Hooks(name="token_entry", drain=self.drain))
--- a/testing/transport/test_feed_follower.py
+++ b/testing/transport/test_feed_follower.py
@@ -42,9 +42,7 @@
                 cursor=len(self.queries),
                 revision=0,
                 is_current=True,
-                has_configuration=False,
                 routing_version=0,
-                routing=b"",
                 out=frozenset(),
                 items=(),
                 replicas=(),
@@ -61,7 +59,7 @@
         is_entry=True,
         listed=lambda: [REPLICA],
         revision=lambda: 0,
-        take=lambda answer: None,
+        take=lambda address, answer: None,
         frames=cast(Any, replica),
     )
 
--- /dev/null
+++ b/testing/transport/test_routing_spread.py
@@ -0,0 +1,133 @@
+"""How a routing table reaches an entry whose link is narrow."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import anyio
+import pytest
+
+from chervilstage.coordination.upstream_feed import take_record
+from chervilstage.state.counters import Counters
+from chervilstage.state.registry import is_leaving
+from chervilstage.state.types import Address, Peer, UpstreamPhase
+from chervilstage.transport import token_entry
+from chervilstage.transport.clock import replica_clock
+from chervilstage.transport.feed_server import FeedServer
+from chervilstage.transport.token_entry import TokenEntry
+from testing.support.slow_links import SlowLink, make_members, make_server, publish
+from testing.support.token_relays import SERVICE, make_record, make_routing
+
+REPLICAS = 5
+LARGE_BYTES = 256 * 1024
+CHECK_SECONDS = 0.01
+READY = make_record(1)
+LEAVING = make_record(1, sequence=2, phase=UpstreamPhase.LEAVING)
+
+
+class Spread:
+    """An entry behind a slow link and the replicas that it follows."""
+
+    def __init__(self, *, folder: Path, link: SlowLink) -> None:
+        members = make_members(REPLICAS)
+        self.link = link
+        self.servers = [
+            make_server(link, members, member, folder) for member in members.members
+        ]
+        self.entry = TokenEntry(
+            own=Peer(name="entry-1", data_centre="", address=Address("10.0.0.1", 1)),
+            relay_address=Address(host="127.0.0.1", port=0),
+            listed=lambda: [member.address for member in members.members],
+            decode_routing=lambda d: make_routing(SERVICE, version=d.version),
+            codec=cast(Any, None),
+            key=b"",
+            counters=Counters(),
+            announcement_seconds=1.2,
+        )
+
+    def publish(self, revision: int, content: bytes) -> None:
+        """Let all replicas learn of a routing table."""
+        for server in self.servers:
+            publish(server, revision, content)
+
+    def hears(self) -> bool:
+        """Tell whether the entry has heard that the upstream leaves."""
+        held = self.entry.state.registry.records.get(READY.identity.address)
+        return held is not None and is_leaving(held)
+
+
+@pytest.fixture
+def spread(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Spread:
+    """Return an entry that has followed no replica yet."""
+    link = SlowLink()
+    monkeypatch.setattr(token_entry, "FrameClient", lambda **fields: link)
+    return Spread(folder=tmp_path, link=link)
+
+
+def announce(server: FeedServer, record: Any) -> None:
+    """Let a replica hear of an upstream."""
+    take_record(server.feed, record, replica_clock())
+    server.notify()
+
+
+async def seconds_until(condition: Callable[[], bool], limit: float) -> float:
+    """Return the seconds until a condition holds, or the limit."""
+    started = anyio.current_time()
+    for _ in range(round(limit / CHECK_SECONDS)):
+        if condition():
+            break
+        await anyio.sleep(CHECK_SECONDS)
+    return anyio.current_time() - started
+
+
+async def follow(spread: Spread, play: Callable[[], Any]) -> None:
+    """Let the entry put a small table in force, then play."""
+    async with anyio.create_task_group() as group:
+        for part in spread.entry.following():
+            await part.start(group)
+        spread.publish(1, b"small")
+        await seconds_until(lambda: spread.entry.revision == 1, 3.0)
+        spread.link.carried = 0
+        await play()
+        group.cancel_scope.cancel()
+
+
+def test_a_large_routing_table_is_carried_to_an_entry_once(spread: Spread) -> None:
+    """Guards against a link filled by the same table from each replica."""
+
+    async def play() -> None:
+        spread.publish(2, Random(1).randbytes(LARGE_BYTES))
+        assert await seconds_until(lambda: spread.entry.revision == 2, 4.0) < 1.5
+        await anyio.sleep(0.5)
+        assert spread.link.carried < 1.5 * LARGE_BYTES
+
+    anyio.run(follow, spread, play)
+
+
+def test_an_upstream_that_leaves_is_heard_of_before_a_large_table(
+    spread: Spread,
+) -> None:
+    """Guards against news of upstreams that waits behind a routing table."""
+
+    async def play() -> None:
+        announce(spread.servers[0], READY)
+        spread.publish(2, Random(1).randbytes(4 * LARGE_BYTES))
+        await anyio.sleep(0.1)
+        announce(spread.servers[1], LEAVING)
+        assert await seconds_until(spread.hears, 3.0) < 0.5
+        assert spread.entry.revision == 1
+
+    anyio.run(follow, spread, play)
+
+
+def test_a_table_that_takes_long_is_carried_to_its_end(spread: Spread) -> None:
+    """Guards against a transfer that is given up and begun anew without end."""
+
+    async def play() -> None:
+        spread.publish(2, Random(1).randbytes(4 * LARGE_BYTES))
+        assert await seconds_until(lambda: spread.entry.revision == 2, 12.0) < 10.0
+
+    anyio.run(follow, spread, play)
