--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -93,7 +93,9 @@
         """Take an answer of a control replica; the configuration never goes back."""
         state = self.state
         if answer.revision > self.told.revision:
-            self.told = ConfigurationTold(answer.revision, answer.routing_version)
+            self.told = ConfigurationTold(
+                revision=answer.revision, routing_version=answer.routing_version
+            )
             if answer.out != state.out:
                 put_out(state, answer.out)
             self.settle()
