Tell the end of an upstream that was forgotten before it ended

Callers of a flow whose upstream had been silent for a minute or more waited until they gave up after it had left: a replica that had forgotten the upstream did not know its label, and told nobody of the end; an entry that had forgotten it took no note of the end, nor of a later run at its address. Each replica that told an end again also put off the closing by the 0.3 s in which an upstream may finish.

Cause: since silence ends no upstream, "removed" has two meanings, not heard any more and ended by its own word, and the registry kept one.

Change: a departed record says whether the upstream has ended; ends of runs that are not held are noted and told, forgotten ones are found by their label, and the first report of an end counts.

Measured: test_the_end_of_a_forgotten_upstream_closes_its_flows and two tests of test_upstream_feed.py fail on the code before and pass now.

--- a/src/chervilstage/coordination/relay_directory.py
+++ b/src/chervilstage/coordination/relay_directory.py
@@ -50,6 +50,7 @@
         record = item.record
         address = record.identity.address
         before = state.registry.records.get(address)
+        known = state.registry.known(address)
         if item.is_gone:
             if _take_end(state, record, now):
                 news.append(record)
@@ -59,8 +60,8 @@
         held = state.registry.records[address]
         if before is None or _is_other(before, held):
             news.append(held)
-        if before is not None and before.identity != held.identity:
-            _note_end(state, before, now)
+        if known is not None and known.identity != held.identity:
+            _note_end(state, known, now)
     if news:
         rebuild(state)
     return news
@@ -105,16 +106,17 @@
 
 
 def _take_end(state: TokenRelayState, record: UpstreamRecord, now: float) -> bool:
+    """Take note that a run has ended, and tell whether it was held here."""
     held = state.registry.records.get(record.identity.address)
-    if held is None or held.identity != record.identity:
+    _note_end(state, record, now)
+    if not state.registry.end(record, now) or held is None:
         return False
-    state.registry.remove(record.identity.address, now)
     _note_end(state, held, now)
     return True
 
 
 def _note_end(state: TokenRelayState, record: UpstreamRecord, now: float) -> None:
-    state.ended_tokens[flow_token(record.identity)] = now
+    state.ended_tokens.setdefault(flow_token(record.identity), now)
 
 
 def _is_other(before: UpstreamRecord, after: UpstreamRecord) -> bool:
--- a/src/chervilstage/coordination/upstream_feed.py
+++ b/src/chervilstage/coordination/upstream_feed.py
@@ -42,12 +42,9 @@
 
 
 def take_departure(feed: UpstreamFeed, record: UpstreamRecord, now: float) -> None:
-    """Take note that an upstream has ended."""
-    address = record.identity.address
-    held = feed.registry.records.get(address)
-    if held is not None and held.identity == record.identity:
-        feed.registry.remove(address, now)
-        _note_change(feed, address, True)
+    """Take note that a run of an upstream has ended."""
+    if feed.registry.end(record, now):
+        _note_change(feed, record.identity.address, True)
 
 
 def take_item(feed: UpstreamFeed, item: FeedItem, now: float) -> None:
@@ -59,8 +56,13 @@
 
 
 def find_label(feed: UpstreamFeed, label: int) -> UpstreamRecord | None:
-    """Return the newest upstream of a label."""
-    found = [r for r in feed.registry.records.values() if r.label == label]
+    """Return the newest upstream of a label, forgotten ones included."""
+    registry = feed.registry
+    known = [
+        *registry.records.values(),
+        *(d.record for d in registry.departed.values()),
+    ]
+    found = [record for record in known if record.label == label]
     return max(found, key=lambda r: r.identity.incarnation, default=None)
 
 
@@ -90,7 +92,7 @@
             items.append(_item(feed, record, now))
             continue
         departed = feed.registry.departed.get(address)
-        if departed is not None:
+        if departed is not None and departed.has_ended:
             items.append(
                 FeedItem(record=departed.record, age_seconds=0.0, is_gone=True)
             )
@@ -121,7 +123,7 @@
     registry = feed.registry
     for address, heard_at in list(registry.heard_at.items()):
         if now - heard_at > SILENT_KEPT_SECONDS:
-            _forget(feed, address, now)
+            registry.remove(address, now)
     registry.forget_departed(now - DEPARTED_KEPT_SECONDS)
     known = registry.records.keys() | registry.departed.keys()
     for counts in (feed.changed, feed.news_of, feed.origin):
@@ -142,13 +144,7 @@
     known = set(services)
     for record in list(feed.registry.records.values()):
         if record.identity.service not in known:
-            _forget(feed, record.identity.address, now)
-
-
-def _forget(feed: UpstreamFeed, address: Address, now: float) -> None:
-    """Remove an upstream without telling that it has ended."""
-    feed.registry.remove(address, now)
-    feed.changed.pop(address, None)
+            feed.registry.remove(record.identity.address, now)
 
 
 def _note_change(feed: UpstreamFeed, address: Address, is_news: bool) -> None:
--- a/src/chervilstage/state/registry.py
+++ b/src/chervilstage/state/registry.py
@@ -11,10 +11,14 @@
 
 
 class Departed(NamedTuple):
-    """The last record of an upstream that was removed, and when, in seconds."""
+    """The last record of an upstream that was removed, and when, in seconds.
+
+    ``has_ended`` tells that it has said so; the others were only not heard any more.
+    """
 
     record: UpstreamRecord
     at: float
+    has_ended: bool = False
 
 
 class UpstreamRegistry:
@@ -91,6 +95,25 @@
             del self.request_holder[record.request_address]
         return record
 
+    def end(self, record: UpstreamRecord, now: float) -> bool:
+        """Take note that a run of an upstream has ended, and tell if that is new.
+
+        A run that is not known is noted as well: another process may hold it.
+        """
+        address = record.identity.address
+        known = self.known(address)
+        if known is not None and known.identity == record.identity:
+            record = max(known, record, key=_version)
+        elif known is not None and _version(record) <= _version(known):
+            return False
+        departed = self.departed.get(address)
+        if departed is not None and departed.has_ended and departed.record == record:
+            return False
+        if address in self.records:
+            self.remove(address, now)
+        self.departed[address] = Departed(record=record, at=now, has_ended=True)
+        return True
+
     def forget_departed(self, before: float) -> None:
         """Forget the removed upstreams that went before a time."""
         for address in [a for a, d in self.departed.items() if d.at < before]:
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -6,7 +6,11 @@
 from testtools.matchers import Equals, IsInstance, Not
 
 from chervilstage.coordination.flow_tokens import flow_token
-from chervilstage.coordination.relay_directory import forget_old, put_routing
+from chervilstage.coordination.relay_directory import (
+    FORGOTTEN_SECONDS,
+    forget_old,
+    put_routing,
+)
 from chervilstage.coordination.suspicion import (
     is_suspect,
     note_answer,
@@ -92,6 +96,34 @@
             relay.send(40_001, token=opened.token or 0), IsInstance(ResetFlow)
         )
 
+    def test_an_end_that_is_told_again_is_no_later(self) -> None:
+        """Guards against callers that wait while replica after replica tells an end."""
+        relay = RelayDriver(records=[make_record(1)])
+        opened = relay.open(40_001)
+        for _ in range(3):
+            relay.hear(make_record(1), gone=True)
+            relay.now += 0.2
+        later = relay.send(40_001, token=opened.token or 0)
+        self.assertThat(later, IsInstance(ResetFlow))
+
+    def test_the_end_of_a_forgotten_upstream_closes_its_flows(self) -> None:
+        """Guards against callers that wait for an upstream that was silent and left."""
+        for ending in (
+            lambda relay: relay.hear(make_record(1, sequence=2), gone=True),
+            lambda relay: relay.hear(make_record(1, incarnation=2)),
+        ):
+            relay = RelayDriver(records=[make_record(1)])
+            opened = relay.open(40_001)
+            relay.now += FORGOTTEN_SECONDS + 1.0
+            forget_old(relay.state, relay.now)
+            self.assertThat(
+                relay.send(40_001, token=opened.token or 0), IsInstance(Forward)
+            )
+            ending(relay)
+            relay.now += 0.5
+            later = relay.send(40_001, token=opened.token or 0)
+            self.assertThat(later, IsInstance(ResetFlow))
+
     def test_an_upstream_that_is_forgotten_keeps_its_flows(self) -> None:
         """Guards against long silence that counts as an end."""
         relay = RelayDriver(records=[make_record(1)])
--- a/testing/coordination/test_upstream_feed.py
+++ b/testing/coordination/test_upstream_feed.py
@@ -118,6 +118,26 @@
         forget_silent(self.feed, 100.0)
         self.assertThat(items_since(self.feed, make_query(0), 100.0), Equals([]))
 
+    def test_the_end_of_a_forgotten_upstream_is_told(self) -> None:
+        """Guards against entries that never hear the end of a silent upstream."""
+        take_record(self.feed, make_record(1), 0.0)
+        forget_silent(self.feed, 100.0)
+        found = find_label(self.feed, 1)
+        assert found is not None
+        take_departure(self.feed, found, 100.5)
+        items = items_since(self.feed, make_query(0), 101.0)
+        self.assertThat([item.is_gone for item in items], Equals([True]))
+
+    def test_the_end_of_an_upstream_that_was_never_heard_is_told(self) -> None:
+        """Guards against an end that stays at the replica that was told of it."""
+        gone = FeedItem(record=make_record(1), age_seconds=0.0, is_gone=True)
+        take_item(self.feed, gone, 0.5)
+        items = items_since(self.feed, make_query(0), 1.0)
+        self.assertThat([item.is_gone for item in items], Equals([True]))
+        cursor = self.feed.cursor
+        take_item(self.feed, gone, 1.5)
+        self.assertThat(self.feed.cursor, Equals(cursor))
+
     def test_services_that_are_not_known_are_dropped(self) -> None:
         take_record(self.feed, make_record(1), 0.0)
         take_record(self.feed, make_record(2, service="stranger"), 0.0)
