Refuse and close no flow by a routing table that is known to be out of date

Callers could get a reset of an open flow, or a refusal of a new one, on a route that the newest table has, while an entry still had a table without it: removed in one version, added again in the next, with the next one on its way over a full link.

Cause and class are those of the resets on silence: an act that can't be taken back, by knowledge that the entry knows to be old. Replicas tell the newest version before the table itself arrives, and the entry did not use that.

Change: while a later version is known of, open flows go on to their upstream, other packets on a route that the table lacks wait up to 0.3 s for it like those before the first table, or are dropped.

Measured: the new test fails on the code before (ResetFlow) and passes now.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -31,8 +31,8 @@
 # Callers repeat an opening packet after 200 ms; copies that arrive closer together
 # were held up on the way and say nothing of the upstream.
 COPY_SECONDS = 0.12
-# An answer to an opening packet takes a few milliseconds; a caller that repeats data
-# after this time has lost its upstream unless another flow there has been answered.
+# An answer to an opening packet takes a few milliseconds; data that is repeated after
+# this time is a sign of silence unless another flow there has been answered.
 STALL_SECONDS = 0.35
 # An upstream that ends may still answer what it has in hand for a moment.
 ENDING_SECONDS = 0.3
@@ -60,7 +60,7 @@
         if not isinstance(found, TokenFlow):
             return found
         flow = state.flows[key] = found
-    elif packet.front not in state.routes:
+    elif packet.front not in state.routes and state.has_newest_routing():
         return _end_flow(state, key, flow, packet, "route_removed")
     if _has_ended(state, flow, now):
         return _end_flow(state, key, flow, packet, "upstream_ended")
@@ -92,6 +92,8 @@
     if route is None:
         if state.routing is None:
             return DropPacket(reason="no_routing")
+        if not state.has_newest_routing():
+            return DropPacket(reason="routing_behind")
         return ResetFlow(sequence=0, reason="no_route")
     key = packet.caller + packet.front
     flow = state.flows.get(key)
@@ -149,6 +151,8 @@
     if services is None:
         return DropPacket(reason="unknown_route" if state.routing else "no_routing")
     if packet.front not in state.routes:
+        if not state.has_newest_routing():
+            return DropPacket(reason="routing_behind")
         return _reset_unheld(packet, "route_removed")
     record = state.tokens.get(packet.token)
     if record is None:
--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -99,6 +99,7 @@
             if answer.out != state.out:
                 put_out(state, answer.out)
             self.settle()
+        state.routing_told = max(state.routing_told, answer.routing_version)
         self.fetcher.note(address, answer.routing_version)
         now = replica_clock()
         for record in take_items(state, answer.items, now):
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -29,7 +29,9 @@
 # before it repeats a packet.
 HELD_SECONDS = 0.3
 HELD_PACKETS = 512
-HELD_REASONS = frozenset({"no_routing", "no_upstreams_known", "unknown_token"})
+HELD_REASONS = frozenset(
+    {"no_routing", "no_upstreams_known", "routing_behind", "unknown_token"}
+)
 # A planned stop may end once no packet has come for this long.
 QUIET_SECONDS = 0.7
 # The fabric needs two unanswered readiness checks to send its packets elsewhere.
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -135,6 +135,22 @@
             self.assertThat(later, IsInstance(Forward))
         self.assertThat(relay.state.registry.records, Equals({}))
 
+    def test_a_route_that_a_later_table_may_have_again_closes_no_flow(self) -> None:
+        """Guards against a reset by a table that is known to be out of date."""
+        relay, fresh = (RelayDriver(records=[make_record(1)]) for _ in range(2))
+        opened = relay.open(40_001)
+        elsewhere = Address(host="198.18.0.9", port=443)
+        for driver in (relay, fresh):
+            table = make_routing(SERVICE, version=2, front=elsewhere)
+            put_routing(driver.state, table)
+            driver.state.routing_told = 3
+        held = relay.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(held, IsInstance(Forward))
+        behind = DropPacket(reason="routing_behind")
+        unheld = fresh.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(unheld, Equals(behind))
+        self.assertThat(fresh.send(40_002, opening=True), Equals(behind))
+
     def test_a_route_that_the_table_never_had_closes_no_flow(self) -> None:
         """Guards against a reset by an entry that has started with an old table."""
         relay = RelayDriver(records=[make_record(1)])
