Give callers the token of their flow's upstream back after a late second answer

Packets of an open flow could go to a second upstream, which answers them with a reset: it had got a copy of the opening packet, its answer came late, and the caller returned its token from then on. The entry that had seen the flow open kept it in its place; any other entry, after a stop or a loss of the first, relayed it by the wrong token.

Cause: the entry knew the right upstream and sent the wrong token on, so the upstream and the caller went on returning it.

Change: an entry that holds an open flow replaces another token by that of the flow's upstream. The upstream returns it, and the next answer corrects the caller. What remains: a second upstream that repeats its answer while the flow pauses, with another entry taking the next packet.

Measured: test_a_late_second_answer_does_not_move_the_flow_at_other_entries fails on the code before.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -5,6 +5,9 @@
 entry has seen open stays at its upstream whatever later packets carry, because a
 second upstream may have answered a copy of the opening packet.
 
+A later token is replaced by that of the flow's upstream, so that the caller returns
+the right one to other entries.
+
 An open flow is closed only when its route is removed or its upstream has ended.
 Silence keeps new flows away from an upstream and closes none: an entry sees only the
 callers' packets, and lost ones look the same as an upstream that has died.
@@ -66,7 +69,11 @@
         return _end_flow(state, key, flow, packet, "upstream_ended")
     _account(state, flow, packet, now)
     record = flow.upstream
-    return Forward(address=record.identity.address, label=record.label, token=None)
+    return Forward(
+        address=record.identity.address,
+        label=record.label,
+        token=None if packet.token == flow.token else flow.token,
+    )
 
 
 def sweep_flows(state: TokenRelayState, now: float) -> None:
@@ -169,6 +176,7 @@
         _release(state, flow)
         flow.upstream = record
         _open(state, flow, now)
+    flow.token = packet.token
     state.load_of(record).flows += 1
     return flow
 
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -19,6 +19,7 @@
     the request that is not yet answered began, None while there is none;
     ``answered_up_to`` is what the caller had acknowledged then, ``acknowledged`` what
     it has by now. ``highest`` is the end of the bytes that the caller has sent.
+    ``token`` is that of the upstream once the flow is open, 0 before.
     ``tried`` holds the upstreams that did not answer the opening packet.
     """
 
@@ -35,6 +36,7 @@
         "seen_at",
         "sent_at",
         "service",
+        "token",
         "tried",
         "upstream",
     )
@@ -42,6 +44,7 @@
     def __init__(self, *, upstream: UpstreamRecord, service: str, now: float) -> None:
         self.upstream = upstream
         self.service = service
+        self.token = 0
         self.is_open = False
         self.is_closing = False
         self.known_from = now
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -52,6 +52,17 @@
         later = relay.send(40_001, token=flow_token(other.identity), size=10)
         self.assertThat(later.address, Equals(opened.address))
 
+    def test_a_late_second_answer_does_not_move_the_flow_at_other_entries(self) -> None:
+        """Guards against callers that return the token of another upstream."""
+        relay = RelayDriver(records=[make_record(1), make_record(2)])
+        opened = relay.open(40_001)
+        other = 3 - opened.label
+        foreign = flow_token(make_record(other).identity)
+        corrected = relay.send(40_001, token=foreign, size=10)
+        self.assertThat(corrected.token, Equals(opened.token))
+        usual = relay.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(usual.token, Equals(None))
+
     def test_leaving_keeps_open_flows_and_gets_no_new_ones(self) -> None:
         relay = RelayDriver(records=[make_record(1)])
         opened = relay.open(40_001)
