--- a/src/chervilstage/programs/ctl.py
+++ b/src/chervilstage/programs/ctl.py
@@ -18,18 +18,15 @@
 from .ctl_reports import register
 from .ctl_session import (
     EXIT_BAD_INPUT,
-    CaOption,
-    ControlOption,
-    JsonOption,
-    KeyOption,
     OperationOption,
     OperatorOption,
     RevisionOption,
+    Session,
     call,
     console,
-    open_session,
     print_json,
     submit,
+    with_session,
 )
 
 app = typer.Typer(
@@ -93,20 +90,13 @@
 
 
 @app.command()
-def diff(
-    inventory: InventoryArgument,
-    rules: RulesArgument,
-    control: ControlOption,
-    key_file: KeyOption,
-    ca_file: CaOption = None,
-    as_json: JsonOption = False,
-) -> None:
+@with_session
+def diff(inventory: InventoryArgument, rules: RulesArgument, session: Session) -> None:
     """Show what applying the files would change."""
     wanted = read_documents(inventory, rules)
-    session = open_session(control, key_file, ca_file, as_json)
     present = call(session.client.configuration)
     found = differences(present, wanted)
-    if as_json:
+    if session.as_json:
         print_json(
             {
                 "revision": present.revision,
@@ -118,22 +108,20 @@
 
 
 @app.command()
+@with_session
 def apply(
     inventory: InventoryArgument,
     rules: RulesArgument,
-    control: ControlOption,
-    key_file: KeyOption,
+    session: Session,
     operator: OperatorOption,
-    ca_file: CaOption = None,
     from_revision: RevisionOption = None,
     operation_id: OperationOption = None,
-    as_json: JsonOption = False,
 ) -> None:
     """Put an inventory and rules in force."""
     wanted = read_documents(inventory, rules)
-    session = open_session(control, key_file, ca_file, as_json)
 
     def edit(base: Configuration, change: Change) -> Change:
+        """Replace all parts of the configuration."""
         return change._replace(
             inventory=wanted.inventory, rules=wanted.rules, out=wanted.out
         )
@@ -148,16 +136,11 @@
 
 
 @app.command()
-def show(
-    control: ControlOption,
-    key_file: KeyOption,
-    ca_file: CaOption = None,
-    as_json: JsonOption = False,
-) -> None:
+@with_session
+def show(session: Session) -> None:
     """Show the newest accepted configuration."""
-    session = open_session(control, key_file, ca_file, as_json)
     configuration = call(session.client.configuration)
-    if as_json:
+    if session.as_json:
         print_json(
             {
                 "revision": configuration.revision,
@@ -170,17 +153,14 @@
 
 
 @app.command()
+@with_session
 def out(
     data_centre: DataCentreArgument,
-    control: ControlOption,
-    key_file: KeyOption,
+    session: Session,
     operator: OperatorOption,
-    ca_file: CaOption = None,
     operation_id: OperationOption = None,
-    as_json: JsonOption = False,
 ) -> None:
     """Take a data centre out of service; its flows end."""
-    session = open_session(control, key_file, ca_file, as_json)
     submit(
         session,
         lambda base, change: change._replace(out=base.out | {data_centre}),
@@ -190,17 +170,14 @@
 
 
 @app.command()
+@with_session
 def back(
     data_centre: DataCentreArgument,
-    control: ControlOption,
-    key_file: KeyOption,
+    session: Session,
     operator: OperatorOption,
-    ca_file: CaOption = None,
     operation_id: OperationOption = None,
-    as_json: JsonOption = False,
 ) -> None:
     """Bring a data centre back into service."""
-    session = open_session(control, key_file, ca_file, as_json)
     submit(
         session,
         lambda base, change: change._replace(out=base.out - {data_centre}),
--- a/src/chervilstage/programs/ctl_reports.py
+++ b/src/chervilstage/programs/ctl_reports.py
@@ -14,18 +14,14 @@
 from ..state.configuration import ChangeOutcome
 from .addresses import parse_address
 from .ctl_session import (
-    CaOption,
-    ControlOption,
-    JsonOption,
-    KeyOption,
     OperationOption,
     OperatorOption,
     Session,
     call,
     console,
-    open_session,
     print_json,
     print_outcome,
+    with_session,
 )
 
 WATCH_SECONDS = 2.0
@@ -43,17 +39,14 @@
 ]
 
 
+@with_session
 def status(
-    control: ControlOption,
-    key_file: KeyOption,
-    ca_file: CaOption = None,
+    session: Session,
     watch: Annotated[
         bool, typer.Option("--watch", help="Print again every 2 s until interrupted.")
     ] = False,
-    as_json: JsonOption = False,
 ) -> None:
     """Show every VM: whether it was reached, its revision, flows and upstreams."""
-    session = open_session(control, key_file, ca_file, as_json)
     print_status(session)
     while watch:
         time.sleep(WATCH_SECONDS)
@@ -111,10 +104,9 @@
     return table
 
 
+@with_session
 def audit(
-    control: ControlOption,
-    key_file: KeyOption,
-    ca_file: CaOption = None,
+    session: Session,
     since: TimeOption = None,
     until: TimeOption = None,
     operator: Annotated[str, typer.Option(help="Only changes of this name.")] = "",
@@ -122,10 +114,8 @@
         str, typer.Option(help="Only changes that concern this data centre.")
     ] = "",
     limit: Annotated[int, typer.Option(help="Newest entries to show.")] = 100,
-    as_json: JsonOption = False,
 ) -> None:
     """Show the audit trail; times are in UTC."""
-    session = open_session(control, key_file, ca_file, as_json)
     parameters = {"limit": str(limit)}
     for name, moment in (("since", since), ("until", until)):
         if moment is not None:
@@ -134,7 +124,7 @@
         if value:
             parameters[name] = value
     outcomes = call(partial(session.client.audit, **parameters))
-    if as_json:
+    if session.as_json:
         print_json([outcome._asdict() for outcome in outcomes])
         return
     console().print(audit_table(outcomes))
@@ -159,17 +149,14 @@
     return table
 
 
+@with_session
 def explain(
     service: Annotated[str, typer.Argument(help="Name of the service.")],
     flow: Annotated[str, typer.Argument(help="HOST:PORT of the caller.")],
-    control: ControlOption,
-    key_file: KeyOption,
-    ca_file: CaOption = None,
-    as_json: JsonOption = False,
+    session: Session,
 ) -> None:
     """Show where each entry sends the next packet of a flow, and why."""
     caller = parse_address(flow)
-    session = open_session(control, key_file, ca_file, as_json)
     read = partial(
         session.client.read,
         "/v1/explain",
@@ -178,7 +165,7 @@
         port=str(caller.port),
     )
     document = call(read)
-    if as_json:
+    if session.as_json:
         print_json(document)
         return
     table = Table(title=f"flow {flow} of {service}")
@@ -205,16 +192,11 @@
 
 
 @members.command("list")
-def members_list(
-    control: ControlOption,
-    key_file: KeyOption,
-    ca_file: CaOption = None,
-    as_json: JsonOption = False,
-) -> None:
+@with_session
+def members_list(session: Session) -> None:
     """Show the control replicas."""
-    session = open_session(control, key_file, ca_file, as_json)
     document = call(partial(session.client.read, "/v1/members"))
-    if as_json:
+    if session.as_json:
         print_json(document)
         return
     table = Table(title=f"control replicas, leader {document['leader'] or 'unknown'}")
@@ -260,49 +242,40 @@
 
 
 @members.command("add")
+@with_session
 def members_add(
     name: NameArgument,
     address: AddressArgument,
-    control: ControlOption,
-    key_file: KeyOption,
+    session: Session,
     operator: OperatorOption,
-    ca_file: CaOption = None,
     operation_id: OperationOption = None,
-    as_json: JsonOption = False,
 ) -> None:
     """Add a replica; it votes once it holds the whole log."""
-    session = open_session(control, key_file, ca_file, as_json)
     change_members(session, "add", name, address, operator, operation_id)
 
 
 @members.command("remove")
+@with_session
 def members_remove(
     name: NameArgument,
-    control: ControlOption,
-    key_file: KeyOption,
+    session: Session,
     operator: OperatorOption,
-    ca_file: CaOption = None,
     operation_id: OperationOption = None,
-    as_json: JsonOption = False,
 ) -> None:
     """Remove a replica."""
-    session = open_session(control, key_file, ca_file, as_json)
     change_members(session, "remove", name, "", operator, operation_id)
 
 
 @members.command("replace")
+@with_session
 def members_replace(
     name: NameArgument,
     address: AddressArgument,
-    control: ControlOption,
-    key_file: KeyOption,
+    session: Session,
     operator: OperatorOption,
-    ca_file: CaOption = None,
     operation_id: OperationOption = None,
-    as_json: JsonOption = False,
 ) -> None:
     """Put a replica with a blank disk in the place of the one of that name."""
-    session = open_session(control, key_file, ca_file, as_json)
     change_members(session, "replace", name, address, operator, operation_id)
 
 
--- a/src/chervilstage/programs/ctl_session.py
+++ b/src/chervilstage/programs/ctl_session.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import getpass
+import inspect
 import json
 import ssl
 import sys
 import uuid
 from collections.abc import Awaitable, Callable
+from functools import wraps
 from pathlib import Path
 from typing import Annotated, Any, NamedTuple, NoReturn, TypeVar
 
@@ -101,7 +103,10 @@
 
 
 def open_session(
-    control: str, key_file: Path, ca_file: Path | None, as_json: bool
+    control: ControlOption,
+    key_file: KeyOption,
+    ca_file: CaOption = None,
+    as_json: JsonOption = False,
 ) -> Session:
     """Return the session of a command, or exit with a typed error."""
     try:
@@ -114,6 +119,27 @@
     return Session(client=client, as_json=as_json)
 
 
+def with_session(command: Callable[..., None]) -> Callable[..., None]:
+    """Return a command that takes the options of a session in place of ``session``."""
+    shared = inspect.signature(open_session, eval_str=True).parameters
+    own = inspect.signature(command, eval_str=True).parameters
+    parameters = [
+        parameter.replace(kind=inspect.Parameter.KEYWORD_ONLY)
+        for name, parameter in (own | shared).items()
+        if name != "session"
+    ]
+
+    @wraps(command)
+    def run(**values: Any) -> None:
+        """Open the session and run the command with it."""
+        session = open_session(**{name: values.pop(name) for name in shared})
+        command(session=session, **values)
+
+    run.__annotations__ = {p.name: p.annotation for p in parameters}
+    run.__dict__["__signature__"] = inspect.Signature(parameters)
+    return run
+
+
 def call(function: Callable[[], Awaitable[T]]) -> T:
     """Run one call on the event loop, or exit with a typed error."""
     try:
@@ -153,6 +179,7 @@
     """
 
     async def exchange() -> ChangeOutcome:
+        """Read the newest configuration and submit the change."""
         base = await session.client.configuration()
         change = Change(
             operation_id=operation_id or str(uuid.uuid4()),
