--- a/src/chervilstage/coordination/replica.py
+++ b/src/chervilstage/coordination/replica.py
@@ -7,7 +7,8 @@
 
 from ..errors.configuration import ReplicaBusyError
 from ..state.configuration import Change, ChangeOutcome
-from ..state.replica import ChangeCommand, Command, Replica, Role, Stored
+from ..state.log_entries import ChangeCommand, Command
+from ..state.replica import Replica, Role, Stored
 from ..state.replica_messages import (
     Append,
     AppendReply,
--- a/src/chervilstage/coordination/replica_apply.py
+++ b/src/chervilstage/coordination/replica_apply.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from ..state.configuration import ChangeOutcome, RoutingDocument
-from ..state.replica import ChangeCommand, LogEntry, MembersCommand, Replica, Snapshot
+from ..state.log_entries import ChangeCommand, LogEntry, MembersCommand
+from ..state.replica import Replica, Snapshot
 from .configuration import apply_change
 from .replica_effects import ReplicaEffect, Reply, SaveSnapshot
 
--- a/src/chervilstage/coordination/replica_effects.py
+++ b/src/chervilstage/coordination/replica_effects.py
@@ -9,7 +9,8 @@
 from typing import NamedTuple
 
 from ..state.configuration import ChangeOutcome
-from ..state.replica import LogEntry, Snapshot, Vote
+from ..state.log_entries import LogEntry
+from ..state.replica import Snapshot, Vote
 from ..state.replica_messages import Body
 from ..state.types import Address
 
--- a/src/chervilstage/coordination/replica_members.py
+++ b/src/chervilstage/coordination/replica_members.py
@@ -16,7 +16,8 @@
 from typing import NamedTuple
 
 from ..errors.configuration import MembersChangeError
-from ..state.replica import MembersCommand, Replica, Snapshot, Vote
+from ..state.log_entries import MembersCommand
+from ..state.replica import Replica, Snapshot, Vote
 from ..state.replica_log import ReplicaLog
 from ..state.replica_messages import Hello
 from ..state.replica_set import ReplicaMember, ReplicaSet
--- a/src/chervilstage/coordination/replication.py
+++ b/src/chervilstage/coordination/replication.py
@@ -5,14 +5,8 @@
 from itertools import dropwhile
 from random import Random
 
-from ..state.replica import (
-    ChangeCommand,
-    Command,
-    LogEntry,
-    Progress,
-    Replica,
-    Role,
-)
+from ..state.log_entries import ChangeCommand, Command, LogEntry
+from ..state.replica import Progress, Replica, Role
 from ..state.replica_log import ReplicaLog
 from ..state.replica_messages import (
     Append,
--- a/src/chervilstage/protocol/log_files.py
+++ b/src/chervilstage/protocol/log_files.py
@@ -12,7 +12,8 @@
 
 from ..errors import ChervilstageError
 from ..errors.configuration import LogDamagedError
-from ..state.replica import LogEntry, Snapshot, Vote
+from ..state.log_entries import LogEntry
+from ..state.replica import Snapshot, Vote
 from .log_records import decode_entry, decode_snapshot, encode_entry, encode_snapshot
 from .schemas import pack, schema, unpack
 
--- a/src/chervilstage/protocol/log_records.py
+++ b/src/chervilstage/protocol/log_records.py
@@ -6,7 +6,8 @@
 import zlib
 from typing import Any
 
-from ..state.replica import ChangeCommand, LogEntry, MembersCommand, Snapshot
+from ..state.log_entries import ChangeCommand, LogEntry, MembersCommand
+from ..state.replica import Snapshot
 from ..state.replica_set import ReplicaSet
 from .configuration_records import (
     change_of,
--- a/src/chervilstage/state/replica.py
+++ b/src/chervilstage/state/replica.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 from .applied import AppliedState
-from .configuration import Change, ChangeOutcome, Configuration
+from .configuration import ChangeOutcome, Configuration
+from .log_entries import LogEntry
 from .replica_log import ReplicaLog
 from .replica_set import ReplicaSet
 
@@ -28,37 +29,6 @@
     candidate: int = 0
 
 
-class ChangeCommand(NamedTuple):
-    """A change that an operator asked for; ``at`` is in seconds since the epoch."""
-
-    change: Change
-    at: float
-
-
-class MembersCommand(NamedTuple):
-    """A change of the set of replicas; ``at`` is in seconds since the epoch.
-
-    The operation id is empty where a replica asked for the change itself.
-    """
-
-    members: ReplicaSet
-    operation_id: str
-    operator: str
-    at: float
-    difference: str
-
-
-Command = ChangeCommand | MembersCommand | None
-
-
-class LogEntry(NamedTuple):
-    """One entry of the log; the first of a leader's term has no command."""
-
-    position: int
-    term: int
-    command: Command
-
-
 class Snapshot(NamedTuple):
     """All that the entries up to an index have led to."""
 
--- a/src/chervilstage/state/replica_log.py
+++ b/src/chervilstage/state/replica_log.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
 
+from .log_entries import LogEntry
 from .replica_set import ReplicaSet
 
-if TYPE_CHECKING:
-    from .replica import LogEntry
-
 
 class ReplicaLog:
     """The entries after a snapshot.
--- a/src/chervilstage/state/replica_messages.py
+++ b/src/chervilstage/state/replica_messages.py
@@ -4,7 +4,8 @@
 
 from typing import NamedTuple
 
-from .replica import LogEntry, Snapshot
+from .log_entries import LogEntry
+from .replica import Snapshot
 from .replica_set import ReplicaMember
 from .types import Address
 
--- a/src/chervilstage/transport/log_store.py
+++ b/src/chervilstage/transport/log_store.py
@@ -26,7 +26,8 @@
     read_records,
     read_snapshot_file,
 )
-from ..state.replica import LogEntry, Snapshot, Stored, Vote
+from ..state.log_entries import LogEntry
+from ..state.replica import Snapshot, Stored, Vote
 
 META = "meta"
 META_NEW = "meta.new"
--- a/testing/coordination/test_replica_cases.py
+++ b/testing/coordination/test_replica_cases.py
@@ -18,7 +18,8 @@
 )
 from chervilstage.coordination.replica_terms import ELECTION_SECONDS
 from chervilstage.errors.configuration import MembersChangeError, NoQuorumError
-from chervilstage.state.replica import LogEntry, Replica, Role, Vote
+from chervilstage.state.log_entries import LogEntry
+from chervilstage.state.replica import Replica, Role, Vote
 from chervilstage.state.replica_messages import (
     AppendReply,
     Body,
--- a/testing/protocol/test_consensus_messages.py
+++ b/testing/protocol/test_consensus_messages.py
@@ -11,7 +11,8 @@
     encode_replica_message,
 )
 from chervilstage.state.configuration import ChangeOutcome, Configuration
-from chervilstage.state.replica import LogEntry, MembersCommand, Snapshot
+from chervilstage.state.log_entries import LogEntry, MembersCommand
+from chervilstage.state.replica import Snapshot
 from chervilstage.state.replica_messages import (
     Append,
     AppendReply,
--- a/testing/support/replica_fakes.py
+++ b/testing/support/replica_fakes.py
@@ -30,7 +30,8 @@
 from chervilstage.coordination.replica_terms import lease_holds
 from chervilstage.errors import ChervilstageError
 from chervilstage.state.configuration import Change, ChangeOutcome
-from chervilstage.state.replica import LogEntry, Replica, Snapshot, Stored, Vote
+from chervilstage.state.log_entries import LogEntry
+from chervilstage.state.replica import Replica, Snapshot, Stored, Vote
 from chervilstage.state.replica_messages import Hello, ReplicaMessage
 from chervilstage.state.types import Address
 
--- a/testing/transport/test_log_store.py
+++ b/testing/transport/test_log_store.py
@@ -20,7 +20,8 @@
     DataCentre,
     Inventory,
 )
-from chervilstage.state.replica import ChangeCommand, LogEntry, Snapshot, Stored, Vote
+from chervilstage.state.log_entries import ChangeCommand, LogEntry
+from chervilstage.state.replica import Snapshot, Stored, Vote
 from chervilstage.transport.log_store import LogStore
 
 IDENTITY = 77
