--- a/src/chervilstage/transport/capacity.py
+++ b/src/chervilstage/transport/capacity.py
@@ -24,40 +24,25 @@
     forget_leases,
     free_slots,
     give_slot,
-    make_asks,
     note_demand,
-    receive_grant,
     take_slot,
     usable,
 )
-from ..coordination.lease_owner import Grant, receive_ask, tick_owner
 from ..coordination.ramp import is_warm, restart_centre
 from ..coordination.selection import Candidate, aged_load, choose
 from ..errors.upstreams import NoUpstreamError
-from ..protocol.capacity_messages import (
-    decode_ask,
-    decode_grants,
-    encode_ask,
-    encode_grants,
-)
-from ..protocol.kinds import Kind
 from ..state.capacity import AttemptResult, Permit
 from ..state.configuration import Configuration
 from ..state.counters import Counters
 from ..state.health import HealthTable
-from ..state.leases import (
-    AskItem,
-    GrantItem,
-    HeldLeases,
-    LingeringSlot,
-    OwnedLeases,
-)
+from ..state.leases import HeldLeases, LingeringSlot, OwnedLeases
 from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry, is_leaving
 from ..state.types import Address, UpstreamRecord
 from ..state.upstream_keys import upstream_key
 from .application import Hooks
 from .event_log import log_event
+from .lease_exchange import LeaseExchange
 from .peer_link import PeerLink
 
 TICK_SECONDS = 0.05
@@ -93,7 +78,6 @@
         self.registry = registry
         self.configuration = configuration
         self.members = members
-        self.link = link
         self.counters = counters
         self.rng = rng
         self.health = HealthTable()
@@ -103,8 +87,15 @@
         self.waiters: dict[str, deque[Waiter]] = defaultdict(deque)
         self.out: frozenset[str] = frozenset()
         self.lingering: list[LingeringSlot] = []
-        link.register(Kind.CAPACITY_REQUEST, self.receive_ask)
-        link.register(Kind.CAPACITY_GRANT, self.receive_grants)
+        self.exchange = LeaseExchange(
+            registry=registry,
+            members=members,
+            link=link,
+            owned=self.owned,
+            held=self.held,
+            takes_work=self.takes_work,
+            granted=self.serve_waiters,
+        )
 
     async def acquire(
         self, *, service: str, excluded: frozenset[Address], deadline: float
@@ -124,7 +115,7 @@
         queue.append(waiter)
         self.held.waiting[service] += 1
         try:
-            self.send_asks()
+            self.exchange.send_asks()
             self.serve_waiters(service)
             with anyio.CancelScope(deadline=deadline):
                 await waiter.event.wait()
@@ -215,7 +206,7 @@
         self.log_verdict(permit.upstream, verdict)
         self.serve_waiters(service)
         if verdict.cold:
-            self.send_asks()
+            self.exchange.send_asks()
 
     def give_lingering(self) -> None:
         """Give back the slots of attempts that upstreams have stopped by now."""
@@ -261,62 +252,6 @@
         concurrent = running + self.held.waiting[service] + new
         note_demand(self.held, service, concurrent, anyio.current_time())
 
-    def send_asks(self) -> None:
-        """Send the asks that are due."""
-        asks = make_asks(
-            self.held,
-            self.members,
-            self.registry.records.values(),
-            self.takes_work,
-            anyio.current_time(),
-        )
-        for ask in asks:
-            if ask.owner == self.members.name:
-                self.give(self.ask(ask.owner, ask.number, ask.items))
-            else:
-                body = encode_ask(ask.number, ask.items)
-                self.link.send(ask.owner, Kind.CAPACITY_REQUEST, body)
-
-    def ask(self, sender: str, number: int, items: Sequence[AskItem]) -> list[Grant]:
-        """Decide on an ask as the owner."""
-        return receive_ask(
-            self.owned,
-            self.registry,
-            self.members,
-            sender,
-            number,
-            items,
-            anyio.current_time(),
-        )
-
-    def receive_ask(self, sender: str, body: bytes) -> None:
-        """Take the ask of a peer."""
-        number, items = decode_ask(body)
-        self.give(self.ask(sender, number, items))
-
-    def receive_grants(self, sender: str, body: bytes) -> None:
-        """Take the grants of a peer."""
-        self.take_grants(sender, decode_grants(body))
-
-    def take_grants(self, sender: str, items: Sequence[GrantItem]) -> None:
-        """Take grants and wake the requests that wait for them."""
-        now = anyio.current_time()
-        for item in items:
-            record = self.registry.find(item.key)
-            if receive_grant(self.held, sender, item, now) and record is not None:
-                self.serve_waiters(record.identity.service)
-
-    def give(self, grants: Sequence[Grant]) -> None:
-        """Send grants, one message to each entry."""
-        by_entry: dict[str, list[GrantItem]] = defaultdict(list)
-        for grant in grants:
-            by_entry[grant.entry].append(grant.item)
-        for entry, items in by_entry.items():
-            if entry == self.members.name:
-                self.take_grants(entry, items)
-            elif entry in self.members.members:
-                self.link.send(entry, Kind.CAPACITY_GRANT, encode_grants(items))
-
     def on_configuration(self) -> None:
         """Let the upstreams of data centres that are back in service ramp."""
         out = self.configuration().out
@@ -348,13 +283,9 @@
     async def run(self) -> None:
         """Renew leases and look after owned ones, until cancelled."""
         while True:
-            self.give(
-                tick_owner(
-                    self.owned, self.registry, self.members, anyio.current_time()
-                )
-            )
+            self.exchange.tick()
             self.give_lingering()
-            self.send_asks()
+            self.exchange.send_asks()
             forget_leases(self.held, self.registry.by_key)
             for service in [s for s, queue in self.waiters.items() if queue]:
                 self.serve_waiters(service)
