Follow the requests of a flow from the sequence that its caller began with

New flows went to upstreams that were busy, and silence of upstreams was not noticed, for about half of all callers: an entry that had opened a flow compared the caller's bytes with 0, so that a count in the upper half of the number space never was above it, and no request of such a flow counted.

Not the cause of resets; the load and the latency of upstreams came from the other half of the flows only.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -110,6 +110,7 @@
         if record is None:
             return _refuse(state, now)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
+        flow.highest = packet.sequence
         _take(state, flow, now)
     elif flow.is_open:
         return DropPacket(reason="late_copy")
