--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -3,11 +3,38 @@
 from __future__ import annotations
 
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, IsInstance, Not
 
+from chervilstage.coordination.relay_directory import FORGOTTEN_SECONDS, forget_old
+from chervilstage.state.flow_packets import ResetFlow
 from testing.support.token_relays import RelayDriver, make_record
 
 
+class EarlySignsTests(TestCase):
+    """Signs of an end or of a lost opening that are no proof yet."""
+
+    def test_another_entry_waits_as_long_after_an_end(self) -> None:
+        """Guards against a reset while the upstream answers what it has in hand."""
+        holds, other = (RelayDriver(records=[make_record(1)]) for _ in range(2))
+        opened = holds.open(40_001)
+        for relay in (holds, other):
+            relay.hear(make_record(1), gone=True)
+            relay.now += 0.1
+            later = relay.send(40_001, token=opened.token or 0, size=10)
+            self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+    def test_a_run_that_is_heard_after_its_end_has_not_ended(self) -> None:
+        """Guards against an end that was told wrongly and counts after a silence."""
+        relay = RelayDriver(records=[make_record(1)])
+        opened = relay.open(40_001)
+        relay.hear(make_record(1), gone=True)
+        relay.hear(make_record(1, sequence=2))
+        relay.now += FORGOTTEN_SECONDS + 1.0
+        forget_old(relay.state, relay.now)
+        later = relay.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+
 class RequestsOfHighSequencesTests(TestCase):
     """Callers begin to count their bytes anywhere in the number space."""
 
