Refuse no flow by a copy of its opening packet whose first went elsewhere

Callers could get a reset of a flow that had just opened: the fabric sends packets to another entry after a change of the rotation, and an entry that got a later copy and had no upstream for it (all cold, and another entry tries those) refused it, although the first copy may have opened the flow elsewhere.

Change: the packet says which copy it is (the platform counts them in the acknowledgement); one whose first this entry has not seen is dropped where there is no upstream.

Measured: test_a_copy_whose_first_went_elsewhere_is_not_refused fails on the code before.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -108,7 +108,7 @@
         service = choose_service(route, rng)
         record = choose_upstream(state, service, frozenset(), now, rng)
         if record is None:
-            return _refuse(state, now)
+            return _refuse(state, packet, now)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
         flow.highest = packet.sequence
         _take(state, flow, now)
@@ -125,11 +125,14 @@
     )
 
 
-def _refuse(state: TokenRelayState, now: float) -> PacketDecision:
+def _refuse(state: TokenRelayState, packet: FlowPacket, now: float) -> PacketDecision:
     """Refuse a flow at once; the caller may then try again elsewhere.
 
     Control replicas that have just started hear of upstreams one after the other.
+    Another entry may have opened the flow of a copy whose first did not come here.
     """
+    if packet.copy:
+        return DropPacket(reason="no_upstream_for_copy")
     known_from = state.upstreams_from
     gathering = GATHERING_ANNOUNCEMENTS * state.announcement_seconds
     if known_from is None or now - known_from < gathering:
--- a/src/chervilstage/platform/packets.py
+++ b/src/chervilstage/platform/packets.py
@@ -41,16 +41,19 @@
         raise MalformedPacketError(size=len(data), reason="length differs from header")
     if flags & ~ALL_FLAGS or (flags & FLAG_SYN and flags & FLAG_ACK):
         raise MalformedPacketError(size=len(data), reason=f"flags {flags:#x}")
+    is_opening = bool(flags & FLAG_SYN)
     return FlowPacket(
         caller=caller,
         front=host + port,
-        is_opening=bool(flags & FLAG_SYN),
+        is_opening=is_opening,
         is_ending=bool(flags & FLAG_FIN),
         is_reset=bool(flags & FLAG_RST),
         sequence=sequence,
         acknowledged=acknowledged,
         size=size,
         token=token,
+        # The acknowledgement of an opening packet counts its copies.
+        copy=acknowledged if is_opening else 0,
     )
 
 
--- a/src/chervilstage/state/flow_packets.py
+++ b/src/chervilstage/state/flow_packets.py
@@ -15,7 +15,8 @@
     """What an entry sees of a caller's packet.
 
     ``sequence`` and ``acknowledged`` count bytes modulo 2**32. ``token`` is the one
-    that the caller received last, 0 if none.
+    that the caller received last, 0 if none. ``copy`` counts the times that an opening
+    packet was sent before.
     """
 
     caller: Endpoint
@@ -27,6 +28,7 @@
     acknowledged: int
     size: int
     token: int
+    copy: int = 0
 
 
 class Forward(NamedTuple):
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -23,6 +23,15 @@
             later = relay.send(40_001, token=opened.token or 0, size=10)
             self.assertThat(later, Not(IsInstance(ResetFlow)))
 
+    def test_a_copy_whose_first_went_elsewhere_is_not_refused(self) -> None:
+        """Guards against a reset of a flow that another entry has opened meanwhile."""
+        relay = RelayDriver(records=[make_record(1, cold_seconds=9.0)], name="entry-2")
+        relay.state.entries = ("entry-1", "entry-2")
+        copies = [
+            relay.send(40_001 + number, opening=True, copy=1) for number in range(2)
+        ]
+        self.assertThat([c for c in copies if isinstance(c, ResetFlow)], Equals([]))
+
     def test_a_run_that_is_heard_after_its_end_has_not_ended(self) -> None:
         """Guards against an end that was told wrongly and counts after a silence."""
         relay = RelayDriver(records=[make_record(1)])
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -115,6 +115,7 @@
         acknowledged: int = 0,
         size: int = 0,
         front: Address = FRONT,
+        copy: int = 0,
     ) -> PacketDecision:
         """Send a packet of a caller, named by its port."""
         packet = FlowPacket(
@@ -127,6 +128,7 @@
             acknowledged=acknowledged,
             size=size,
             token=token,
+            copy=copy,
         )
         return relay_packet(self.state, packet, self.now, self.rng)
 
