Relay no packet of an open flow by the token of an opening packet

Packets of an open flow could go to a second upstream, which answers with a reset (FLOW). An upstream may answer an opening packet late, after its copy has gone to another one; the one that does not get the flow repeats its answer for some ten seconds, and a caller that pauses meanwhile returns its token. If the entry that saw the flow open then stops or leaves the rotation, the next packet goes to the wrong upstream.

Change: one bit marks the tokens of opening packets. The entry that sees the first byte after the opening packet gives the caller the plain token; other entries drop packets with provisional ones. What it costs: a flow whose entry is lost between its opening packet and its first answer waits until its caller gives up. The counter tokens_replaced tells how often.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -1,12 +1,11 @@
 """Where each packet of a flow goes when callers return flow tokens.
 
-An opening packet goes to a chosen upstream and carries its token; the caller returns
-the token in all later packets, so that any entry can relay them. A flow that this
-entry has seen open stays at its upstream whatever later packets carry, because a
-second upstream may have answered a copy of the opening packet.
-
-A later token is replaced by that of the flow's upstream, so that the caller returns
-the right one to other entries.
+An opening packet goes to a chosen upstream and carries its token, and a copy of it may
+go to a second one; both may answer. The flow opens at the upstream whose token comes
+with the first byte after the opening packet. The entry that sees this gives the caller
+the plain token, which it returns in all later packets, so that any entry can relay
+them. A flow that this entry has seen open stays at its upstream whatever later packets
+carry, and other entries relay no packet by the token of an opening packet.
 
 An open flow is closed only when its route is removed or its upstream has ended.
 Silence keeps new flows away from an upstream and closes none: an entry sees only the
@@ -27,7 +26,7 @@
     is_after,
 )
 from ..state.token_flows import TokenFlow, TokenRelayState, UpstreamLoad
-from .flow_tokens import flow_token
+from .flow_tokens import PROVISIONAL, flow_token, is_provisional, provisional_token
 from .placement import choose_service, choose_upstream
 from .suspicion import note_answer, note_question, note_silence
 
@@ -110,7 +109,7 @@
         if record is None:
             return _refuse(state, packet, now)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
-        flow.highest = packet.sequence
+        flow.highest = flow.opening = packet.sequence
         _take(state, flow, now)
     elif flow.is_open:
         return DropPacket(reason="late_copy")
@@ -121,7 +120,7 @@
     return Forward(
         address=identity.address,
         label=flow.upstream.label,
-        token=flow_token(identity),
+        token=provisional_token(identity),
     )
 
 
@@ -165,7 +164,10 @@
         if not state.has_newest_routing():
             return DropPacket(reason="routing_behind")
         return _reset_unheld(packet, "route_removed")
-    record = state.tokens.get(packet.token)
+    if is_provisional(packet.token) and not _opens(flow, packet):
+        return DropPacket(reason="provisional_token")
+    token = packet.token & ~PROVISIONAL
+    record = state.tokens.get(token)
     if record is None:
         return _relay_to_ended(state, packet, services, now)
     if record.identity.service not in services:
@@ -178,16 +180,23 @@
         _release(state, flow)
         flow.upstream = record
         _open(state, flow, now)
-    flow.token = packet.token
+    flow.token = token
     state.load_of(record).flows += 1
     return flow
 
 
+def _opens(flow: TokenFlow | None, packet: FlowPacket) -> bool:
+    """Tell whether a packet is the first after the opening packet that came here."""
+    if flow is None or flow.opening is None:
+        return False
+    return (packet.sequence - flow.opening) % NUMBER_SPACE <= 1
+
+
 def _relay_to_ended(
     state: TokenRelayState, packet: FlowPacket, services: frozenset[str], now: float
 ) -> PacketDecision:
     """Relay a packet by the token of an upstream that is not known to be alive."""
-    ended = state.ended.get(packet.token)
+    ended = state.ended.get(packet.token & ~PROVISIONAL)
     if ended is None:
         return DropPacket(reason="unknown_token")
     if now - ended.at > ENDING_SECONDS:
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -21,7 +21,8 @@
     the request that is not yet answered began, None while there is none;
     ``answered_up_to`` is what the caller had acknowledged then, ``acknowledged`` what
     it has by now. ``highest`` is the end of the bytes that the caller has sent.
-    ``token`` is that of the upstream once the flow is open, 0 before.
+    ``token`` is that of the upstream once the flow is open, 0 before. ``opening`` is
+    the sequence of its opening packet, None if this entry has not seen that.
     ``tried`` holds the upstreams that did not answer the opening packet.
     """
 
@@ -34,6 +35,7 @@
         "is_closing",
         "is_open",
         "known_from",
+        "opening",
         "quiet_seconds",
         "seen_at",
         "sent_at",
@@ -47,6 +49,7 @@
         self.upstream = upstream
         self.service = service
         self.token = 0
+        self.opening: int | None = None
         self.is_open = False
         self.is_closing = False
         self.known_from = now
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -10,6 +10,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from ..coordination.flow_tokens import is_provisional
 from ..coordination.relay_directory import forget_old
 from ..coordination.token_relay import relay_packet, sweep_flows
 from ..errors import ChervilstageError
@@ -100,6 +101,9 @@
         """Carry out the decision on a packet."""
         decision = relay_packet(self.state, packet, now, self.rng)
         if isinstance(decision, Forward):
+            if decision.token is not None and not packet.is_opening:
+                kind = "provisional" if is_provisional(packet.token) else "plain"
+                self.counters.add("tokens_replaced", kind)
             out = self.codec.forward(data, decision.label, decision.token)
             if not send_datagram(self.sock, out, decision.address):
                 self.counters.add("packets_unsent", "upstream")
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -56,3 +56,43 @@
             relay.send(40_001, token=opening.token or 0, sequence=first, size=100)
             load = relay.state.load_of(make_record(1))
             self.assertThat((first, load.in_flight), Equals((first, 1)))
+
+
+class SecondAnswersTests(TestCase):
+    """Two upstreams that answer copies of one opening packet."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.records = [make_record(1), make_record(2)]
+        self.first = RelayDriver(records=self.records)
+        self.other = RelayDriver(records=self.records, name="entry-2")
+
+    def test_the_token_of_a_half_open_upstream_moves_no_flow_at_other_entries(
+        self,
+    ) -> None:
+        """Guards against the repeated answer of an upstream that the flow is not at."""
+        for caller, place in ((40_001, 0), (40_002, 1)):
+            copies = [self.first.send(caller, opening=True)]
+            self.first.now += 0.2
+            copies.append(self.first.send(caller, opening=True, copy=1))
+            self.assertThat(copies[0].label, Not(Equals(copies[1].label)))
+            opened, half_open = copies[place], copies[1 - place]
+            held = self.first.send(caller, token=opened.token or 0)
+            self.assertThat(held.label, Equals(opened.label))
+            later = self.other.send(
+                caller, token=half_open.token or 0, sequence=5_000, size=100
+            )
+            label = getattr(later, "label", None)
+            self.assertThat(label, Not(Equals(half_open.label)))
+
+    def test_an_entry_that_saw_a_late_copy_does_not_take_the_flow_for_opened_there(
+        self,
+    ) -> None:
+        """Guards against a flow that went on elsewhere and comes by another token."""
+        label = self.first.open(40_001).label
+        late = self.other.send(40_001, opening=True, sequence=1, copy=1)
+        while late.label == label:
+            self.other.now += 0.2
+            late = self.other.send(40_001, opening=True, sequence=1, copy=2)
+        later = self.other.send(40_001, token=late.token or 0, sequence=5_000, size=100)
+        self.assertThat(getattr(later, "label", None), Not(Equals(late.label)))
--- a/testing/coordination/test_open_flows.py
+++ b/testing/coordination/test_open_flows.py
@@ -5,11 +5,12 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, IsInstance
+from testtools.matchers import Equals, IsInstance, Not
 
+from chervilstage.coordination.flow_tokens import provisional_token
 from chervilstage.coordination.relay_directory import forget_old, put_routing
 from chervilstage.coordination.token_relay import sweep_flows
-from chervilstage.state.flow_packets import Forward
+from chervilstage.state.flow_packets import Forward, ResetFlow
 from chervilstage.state.types import UpstreamPhase, UpstreamRecord
 from testing.support.token_relays import (
     SERVICE,
@@ -74,9 +75,11 @@
     def open(self, entry: int) -> None:
         """Open a flow that its upstream accepts."""
         caller = next(self.callers)
-        opened = self.entries[entry].send(caller, opening=True)
-        if isinstance(opened, Forward) and opened.token is not None:
-            self.entries[entry].send(caller, token=opened.token)
+        opening = self.entries[entry].send(caller, opening=True)
+        if isinstance(opening, Forward) and opening.token is not None:
+            opened = self.entries[entry].send(caller, token=opening.token)
+            assert_that(opened, IsInstance(Forward))
+            assert_that(opened.label, Equals(opening.label))
             self.flows.append(
                 OpenFlow(
                     caller=caller, label=opened.label, token=opened.token, now=self.now
@@ -162,6 +165,29 @@
             assert_that(decision.label, Equals(flow.label))
         flow.sequence += 100
 
+    @rule(
+        place=st.integers(0, 1000),
+        entry=st.sampled_from(range(len(ENTRIES))),
+        number=st.sampled_from(UPSTREAMS),
+    )
+    def answer_again(self, place: int, entry: int, number: int) -> None:
+        """Let a second upstream answer a copy of the opening packet of an open flow."""
+        live = [f for f in self.flows if self.now - f.opened_at < LIFE_SECONDS]
+        live = [f for f in live if self.now - f.used_at < IDLE_SECONDS]
+        if not live:
+            return
+        flow = live[place % len(live)]
+        flow.used_at = self.now
+        flow.sequence += 100
+        decision = self.entries[entry].send(
+            flow.caller,
+            token=provisional_token(self.record(number).identity),
+            sequence=flow.sequence,
+            size=100,
+        )
+        assert_that(decision, Not(IsInstance(ResetFlow)))
+        assert_that(getattr(decision, "label", flow.label), Equals(flow.label))
+
 
 OpenFlowTests = OpenFlowMachine.TestCase
 OpenFlowTests.settings = settings(stateful_step_count=STEPS, deadline=None)
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -139,4 +139,4 @@
         assert decision.token is not None
         opened = self.send(caller, token=decision.token)
         assert isinstance(opened, Forward), opened
-        return decision
+        return decision._replace(token=opened.token)
