End only the run of an upstream that its leave call names

Open flows of an upstream that had started again under its id could be reset: a control daemon that handled the leave call of the earlier run late, after a freeze, took it for the newest run of that id and told all entries its end.

Change: a leave call that says when its run started ends that run only. One without a body ends the newest run as before.

Measured: test_a_late_leave_of_an_earlier_run_does_not_end_the_run_after_it fails on the code before.

--- a/src/chervilstage/coordination/upstream_feed.py
+++ b/src/chervilstage/coordination/upstream_feed.py
@@ -55,14 +55,23 @@
         take_record(feed, item.record, now - item.age_seconds, item.origin)
 
 
-def find_label(feed: UpstreamFeed, label: int) -> UpstreamRecord | None:
-    """Return the newest upstream of a label, forgotten ones included."""
+def find_label(
+    feed: UpstreamFeed, label: int, incarnation: int | None = None
+) -> UpstreamRecord | None:
+    """Return an upstream by its label, forgotten ones included.
+
+    :param incarnation: the run to return, the newest one if left out.
+    """
     registry = feed.registry
     known = [
         *registry.records.values(),
         *(d.record for d in registry.departed.values()),
     ]
-    found = [record for record in known if record.label == label]
+    found = [
+        record
+        for record in known
+        if record.label == label and incarnation in (None, record.identity.incarnation)
+    ]
     return max(found, key=lambda r: r.identity.incarnation, default=None)
 
 
--- a/src/chervilstage/platform/control_calls.py
+++ b/src/chervilstage/platform/control_calls.py
@@ -25,7 +25,7 @@
 from ..transport.feed_server import FeedServer
 from ..transport.http_connection import HttpRequest, HttpResponse
 from ..transport.log_budget import LogBudget
-from .documents import decode_heartbeat, decode_routing, label_of
+from .documents import decode_heartbeat, decode_leave, decode_routing, label_of
 
 OPERATOR = "platform"
 DIGEST_BYTES = 8
@@ -112,15 +112,9 @@
         if problems:
             raise RoutingInvalidError(problems=problems)
         digest = blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
-        await self.submit(
-            Change(
-                operation_id=f"routing-{routing.version}-{digest}",
-                operator=OPERATOR,
-                base_revision=None,
-                routing=RoutingDocument(version=routing.version, content=body),
-            )
-        )
-        return EMPTY_OBJECT
+        change = _make_change(f"routing-{routing.version}-{digest}")
+        document = RoutingDocument(version=routing.version, content=body)
+        return await self.submit(change._replace(routing=document))
 
     async def get_configuration(self, name: str, body: bytes) -> bytes:
         """Return the newest routing table as it was published."""
@@ -128,38 +122,25 @@
 
     async def start_evacuation(self, zone: str, body: bytes) -> bytes:
         """Take a data centre out of service."""
-        return await self.move(zone, taken_out=frozenset({zone}))
+        taken_out = frozenset({self.known(zone)})
+        return await self.submit(_make_change()._replace(taken_out=taken_out))
 
     async def end_evacuation(self, zone: str, body: bytes) -> bytes:
         """Bring a data centre back into service."""
-        return await self.move(zone, brought_back=frozenset({zone}))
+        brought_back = frozenset({self.known(zone)})
+        return await self.submit(_make_change()._replace(brought_back=brought_back))
 
-    async def move(
-        self,
-        zone: str,
-        *,
-        taken_out: frozenset[str] = frozenset(),
-        brought_back: frozenset[str] = frozenset(),
-    ) -> bytes:
-        """Take a data centre out or bring it back.
+    def known(self, zone: str) -> str:
+        """Return the name of a data centre.
 
         :raises UnknownDataCentreError: the platform has no such data centre.
         """
         if zone not in self.data_centres:
             raise UnknownDataCentreError(data_centre=zone)
-        await self.submit(
-            Change(
-                operation_id=f"evacuation-{secrets.token_hex(DIGEST_BYTES)}",
-                operator=OPERATOR,
-                base_revision=None,
-                taken_out=taken_out,
-                brought_back=brought_back,
-            )
-        )
-        return EMPTY_OBJECT
+        return zone
 
-    async def submit(self, change: Change) -> None:
-        """Submit a change and log its outcome.
+    async def submit(self, change: Change) -> bytes:
+        """Submit a change, log its outcome and return an empty answer.
 
         :raises OperatorCallError: it was refused, or its outcome is not known.
         """
@@ -173,6 +154,7 @@
                 remote_code=outcome.code,
                 message=outcome.message,
             )
+        return EMPTY_OBJECT
 
     async def heartbeat(self, label: str, body: bytes) -> bytes:
         """Take a target's announcement."""
@@ -181,10 +163,16 @@
 
     async def leave(self, label: str, body: bytes) -> bytes:
         """Take note that a target has ended."""
-        await self.feed.depart(label_of(label))
+        await self.feed.depart(label_of(label), decode_leave(body))
         return EMPTY_OBJECT
 
 
+def _make_change(operation_id: str = "") -> Change:
+    """Return an empty change; one without a name is new with each call."""
+    operation_id = operation_id or f"evacuation-{secrets.token_hex(DIGEST_BYTES)}"
+    return Change(operation_id=operation_id, operator=OPERATOR, base_revision=None)
+
+
 def _status_of(error: ChervilstageError) -> int:
     if error.retryable:
         return STATUS_UNAVAILABLE
--- a/src/chervilstage/platform/documents.py
+++ b/src/chervilstage/platform/documents.py
@@ -47,8 +47,7 @@
     try:
         return _routing(json.loads(content))
     except MALFORMED as error:
-        problem = f"{type(error).__name__}: {error}"
-        raise RoutingInvalidError(problems=[problem]) from error
+        raise RoutingInvalidError(problems=[_shown(error)]) from error
 
 
 def decode_accepted(document: RoutingDocument) -> Routing:
@@ -65,8 +64,18 @@
     try:
         return _record(label_of(label), json.loads(body))
     except MALFORMED as error:
-        reason = f"{type(error).__name__}: {error}"
-        raise AnnouncementError(reason=reason) from error
+        raise AnnouncementError(reason=_shown(error)) from error
+
+
+def decode_leave(body: bytes) -> int | None:
+    """Return when the run that leaves started, None if the call does not tell.
+
+    :raises AnnouncementError: the body is malformed.
+    """
+    try:
+        return _count(json.loads(body).get("born", 0)) or None if body else None
+    except MALFORMED as error:
+        raise AnnouncementError(reason=_shown(error)) from error
 
 
 def label_of(text: str) -> int:
@@ -149,6 +158,10 @@
     )
 
 
+def _shown(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise FieldError(value=value, reason="no text")
--- a/src/chervilstage/platform/packets.py
+++ b/src/chervilstage/platform/packets.py
@@ -41,11 +41,10 @@
         raise MalformedPacketError(size=len(data), reason="length differs from header")
     if flags & ~ALL_FLAGS or (flags & FLAG_SYN and flags & FLAG_ACK):
         raise MalformedPacketError(size=len(data), reason=f"flags {flags:#x}")
-    is_opening = bool(flags & FLAG_SYN)
     return FlowPacket(
         caller=caller,
         front=host + port,
-        is_opening=is_opening,
+        is_opening=bool(flags & FLAG_SYN),
         is_ending=bool(flags & FLAG_FIN),
         is_reset=bool(flags & FLAG_RST),
         sequence=sequence,
@@ -53,7 +52,7 @@
         size=size,
         token=token,
         # The acknowledgement of an opening packet counts its copies.
-        copy=acknowledged if is_opening else 0,
+        copy=acknowledged if flags & FLAG_SYN else 0,
     )
 
 
--- a/src/chervilstage/transport/feed_server.py
+++ b/src/chervilstage/transport/feed_server.py
@@ -123,9 +123,12 @@
             log_event("upstream_leaving", **_shown(record))
         await self.wait_for_spread(self.feed.changed.get(record.identity.address, 0))
 
-    async def depart(self, label: int) -> None:
-        """Take note that an upstream has ended; one that is not known is no error."""
-        record = find_label(self.feed, label)
+    async def depart(self, label: int, incarnation: int | None = None) -> None:
+        """Take note that an upstream has ended; one that is not known is no error.
+
+        :param incarnation: the run that has ended, the newest one if left out.
+        """
+        record = find_label(self.feed, label, incarnation)
         if record is None:
             log_event("departure_of_unknown", level=logging.WARNING, label=label)
             return
--- a/testing/platform/test_control_calls.py
+++ b/testing/platform/test_control_calls.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
-from typing import cast
+import json
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
 
 import anyio
 import pytest
 
+from chervilstage.coordination.upstream_feed import take_record
 from chervilstage.platform.control_calls import ControlCalls
 from chervilstage.state.counters import Counters
+from chervilstage.state.upstream_feed import UpstreamFeed
 from chervilstage.transport.change_calls import ChangeCalls
+from chervilstage.transport.clock import replica_clock
 from chervilstage.transport.feed_server import FeedServer
 from chervilstage.transport.http_connection import HttpRequest
 from chervilstage.transport.log_budget import BURST_LINES
+from chervilstage.transport.upstream_store import UpstreamStore
+from testing.support.token_relays import SERVICE, make_record
 
 CALLS = 500
 
@@ -40,3 +48,37 @@
         n for (name, _), n in counters.values.items() if name.endswith("refused")
     ]
     assert refused == [CALLS]
+
+
+def test_a_late_leave_of_an_earlier_run_does_not_end_the_run_after_it(
+    tmp_path: Path,
+) -> None:
+    """Guards against the flows of a target that was started again under its id."""
+    server = FeedServer(
+        feed=UpstreamFeed(run=1),
+        driver=cast(Any, SimpleNamespace(replica=None)),
+        frames=cast(Any, SimpleNamespace(serve=lambda kind, handler: None)),
+        services_of=lambda document: frozenset({SERVICE}),
+        store=UpstreamStore(folder=tmp_path),
+    )
+    calls = ControlCalls(
+        changes=cast(ChangeCalls, None),
+        feed=server,
+        data_centres=frozenset(),
+        counters=Counters(),
+    )
+    take_record(server.feed, make_record(1, incarnation=1_000), replica_clock())
+    again = make_record(1, incarnation=2_000)
+    take_record(server.feed, again, replica_clock())
+    leave = HttpRequest(
+        method="POST",
+        target="/instances/i-1/leave",
+        headers={},
+        body=json.dumps({"born": 1_000}).encode(),
+    )
+
+    async def main() -> None:
+        await calls.answer(leave)
+
+    anyio.run(main)
+    assert list(server.feed.registry.records.values()) == [again]
--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -25,6 +25,7 @@
 from chervilstage.errors.upstreams import AnnouncementError
 from chervilstage.platform.documents import (
     decode_heartbeat,
+    decode_leave,
     decode_routing,
     label_of,
 )
@@ -174,6 +175,21 @@
         decode_heartbeat("i-7f3a91c2", encode({**HEARTBEAT, **changes}))
 
 
+@pytest.mark.parametrize(
+    ("body", "started"), [(b"", None), (b"{}", None), (b'{"born": 1000}', 1000)]
+)
+def test_leave_tells_its_run_if_it_has_a_body(body: bytes, started: int | None) -> None:
+    """Guards against calls without a body that are refused."""
+    assert decode_leave(body) == started
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", b'{"born": "1000"}', b'{"born": -1}'])
+def test_malformed_leave_names_no_run(body: bytes) -> None:
+    """Guards against calls of another writer that end a run."""
+    with pytest.raises(AnnouncementError):
+        decode_leave(body)
+
+
 @pytest.mark.parametrize("label", ["i-", "i-xyz", "i-0", "i-1ffffffffffffffff", ""])
 def test_ids_without_a_number_are_refused(label: str) -> None:
     """Guards against a label that would reach any target."""
