Refuse an announcement that does not say when its upstream started

Open flows of a live upstream could be reset: an announcement of another writer that lacked the start was taken for a run that started at 0, and the upstream's next whole announcement ended that run.

The users' pages say that the field is always there and that an announcement without a field names no target; the assumption of docs/questions.md that it may be missing was wrong, and the test that left it out of the required fields now has it in.

Measured: the parametrised test fails for this field on the code before.

--- a/src/chervilstage/platform/documents.py
+++ b/src/chervilstage/platform/documents.py
@@ -144,7 +144,7 @@
     return UpstreamRecord(
         identity=UpstreamId(
             address=address,
-            incarnation=_count(document.get("born", 0)),
+            incarnation=_count(document["born"]),
             service=_text(document["Service"]),
         ),
         request_address=address,
--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -142,9 +142,7 @@
     assert (record.sequence, record.slots) == (4, 4)
 
 
-@pytest.mark.parametrize(
-    "field", [f for f in HEARTBEAT if f not in ("Version", "born")]
-)
+@pytest.mark.parametrize("field", [f for f in HEARTBEAT if f != "Version"])
 def test_heartbeat_without_a_field_names_no_target(field: str) -> None:
     """Guards against heartbeats of another writer."""
     document = {key: value for key, value in HEARTBEAT.items() if key != field}
