Tell a new flow of a port that is used again from the old one by its sequence

Callers that used an address and port again within the idle time got no new flow through an entry that still held the old one, which dropped the opening packet as a late copy. Where another entry had opened the new flow, its packets through this one went to the old upstream, which answers with a reset.

Cause: a flow was its two addresses and ports alone. Change: a packet whose sequence is more than 1 MiB away from that of the held flow belongs to another flow, and the old one is forgotten.

Measured: both UsedAgainTests fail on the code before.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -40,6 +40,9 @@
 ENDING_SECONDS = 0.3
 # Callers have at most 16 packets of 1,200 bytes in flight.
 WINDOW_BYTES = 16 * 1200
+# Callers begin flows anywhere in the number space; other entries may have relayed as
+# much of the same flow since its last packet here.
+SAME_FLOW_BYTES = 1 << 20
 LATENCY_WEIGHT = 0.2
 CLOSING_SECONDS = 3.0
 # After this many intervals each upstream has announced itself once.
@@ -56,7 +59,7 @@
     if packet.is_opening:
         return _open_flow(state, packet, now, rng)
     key = packet.caller + packet.front
-    flow = state.flows.get(key)
+    flow = _held_flow(state, key, packet)
     if flow is None or not flow.is_open:
         found = _flow_of_token(state, packet, flow, now)
         if not isinstance(found, TokenFlow):
@@ -75,6 +78,23 @@
     )
 
 
+def _held_flow(
+    state: TokenRelayState, key: bytes, packet: FlowPacket
+) -> TokenFlow | None:
+    """Return the flow of a packet, and forget one whose caller's port is used again."""
+    flow = state.flows.get(key)
+    if flow is None or _continues(flow, packet):
+        return flow
+    _forget(state, key, flow)
+    return None
+
+
+def _continues(flow: TokenFlow, packet: FlowPacket) -> bool:
+    """Tell whether a packet's sequence is near that of a flow."""
+    distance = (packet.sequence - flow.highest) % NUMBER_SPACE
+    return min(distance, NUMBER_SPACE - distance) <= SAME_FLOW_BYTES
+
+
 def sweep_flows(state: TokenRelayState, now: float) -> None:
     """Forget the flows that have ended, and the requests that will not be answered."""
     routing = state.routing
@@ -102,7 +122,7 @@
             return DropPacket(reason="routing_behind")
         return ResetFlow(sequence=0, reason="no_route")
     key = packet.caller + packet.front
-    flow = state.flows.get(key)
+    flow = _held_flow(state, key, packet)
     if flow is None:
         service = choose_service(route, rng)
         record = choose_upstream(state, service, frozenset(), now, rng)
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -5,8 +5,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals, IsInstance, Not
 
+from chervilstage.coordination.flow_tokens import flow_token
 from chervilstage.coordination.relay_directory import FORGOTTEN_SECONDS, forget_old
-from chervilstage.state.flow_packets import ResetFlow
+from chervilstage.state.flow_packets import Forward, ResetFlow
 from testing.support.token_relays import RelayDriver, make_record
 
 
@@ -96,3 +97,29 @@
             late = self.other.send(40_001, opening=True, sequence=1, copy=2)
         later = self.other.send(40_001, token=late.token or 0, sequence=5_000, size=100)
         self.assertThat(getattr(later, "label", None), Not(Equals(late.label)))
+
+
+class UsedAgainTests(TestCase):
+    """A caller's address and port that are used again for another flow."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.relay = RelayDriver(records=[make_record(1), make_record(2)])
+        self.opened = self.relay.open(40_001)
+        self.relay.send(40_001, token=self.opened.token or 0, sequence=1, size=100)
+        self.relay.now += 5.0
+
+    def test_a_new_flow_of_a_used_port_is_not_a_late_copy(self) -> None:
+        """Guards against new flows that are dropped for the idle time of an old one."""
+        opening = self.relay.send(40_001, opening=True, sequence=1 << 30)
+        self.assertThat(opening, IsInstance(Forward))
+
+    def test_an_old_flow_does_not_draw_the_packets_of_a_new_one(self) -> None:
+        """Guards against packets of another entry's flow at the wrong upstream."""
+        other = 3 - self.opened.label
+        token = flow_token(make_record(other).identity)
+        packet = self.relay.send(
+            40_001, token=token, sequence=1 << 30, acknowledged=1 << 29, size=10
+        )
+        self.assertThat(packet, IsInstance(Forward))
+        self.assertThat(packet.label, Equals(other))
