Tell how long a closed flow was quiet, and remove what resets on silence left behind

The line flow_closed told the gap before the caller's last but one packet as quiet_ms: since time closes no flow, every closing comes before its packet is accounted. The fields that only such resets needed were still there: the last acknowledgement of a flow, the gap between its packets, and the field `by`, which could only say "packet". A test asserted that; it now asserts that the packet's token is the held one.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -238,9 +238,7 @@
     state: TokenRelayState, flow: TokenFlow, packet: FlowPacket, now: float
 ) -> None:
     """Follow the requests in flight by the caller's half of the flow."""
-    flow.quiet_seconds = now - flow.seen_at
     flow.seen_at = now
-    flow.acknowledged = packet.acknowledged
     load = state.load_of(flow.upstream)
     if flow.busy_since is not None and is_after(
         packet.acknowledged, flow.answered_up_to
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -15,19 +15,16 @@
 class TokenFlow:
     """A flow that this entry relays; times are in seconds of the entry's clock.
 
-    ``known_from`` is when this entry saw its first packet. ``seen_at`` is when the last
-    one came, ``quiet_seconds`` the time between the last two. ``sent_at`` is when the
-    opening packet was last sent on. ``busy_since`` is when
-    the request that is not yet answered began, None while there is none;
-    ``answered_up_to`` is what the caller had acknowledged then, ``acknowledged`` what
-    it has by now. ``highest`` is the end of the bytes that the caller has sent.
-    ``token`` is that of the upstream once the flow is open, 0 before. ``opening`` is
-    the sequence of its opening packet, None if this entry has not seen that.
-    ``tried`` holds the upstreams that did not answer the opening packet.
+    ``known_from`` is when this entry saw its first packet, ``seen_at`` when the last
+    one came. ``sent_at`` is when the opening packet was last sent on, ``opening`` its
+    sequence, None if this entry has not seen it. ``tried`` holds the upstreams that
+    did not answer it. ``token`` is that of the upstream once the flow is open, 0
+    before. ``busy_since`` is when the request that is not yet answered began, None
+    while there is none; ``answered_up_to`` is what the caller had acknowledged then.
+    ``highest`` is the end of the bytes that the caller has sent.
     """
 
     __slots__ = (
-        "acknowledged",
         "answered_up_to",
         "began_at",
         "busy_since",
@@ -36,7 +33,6 @@
         "is_open",
         "known_from",
         "opening",
-        "quiet_seconds",
         "seen_at",
         "sent_at",
         "service",
@@ -53,11 +49,9 @@
         self.is_open = False
         self.is_closing = False
         self.known_from = now
-        self.quiet_seconds = 0.0
         self.seen_at = now
         self.sent_at = now
         self.busy_since: float | None = None
-        self.acknowledged = 0
         self.answered_up_to = 0
         self.highest = 0
         self.began_at = 0
--- a/src/chervilstage/transport/relay_log.py
+++ b/src/chervilstage/transport/relay_log.py
@@ -35,9 +35,7 @@
     ) -> None:
         """Log what became of an opening packet, or why a flow was closed."""
         if isinstance(decision, ResetFlow) and decision.is_open:
-            self.closed(
-                state, packet.caller, packet.front, decision, now, token=packet.token
-            )
+            self.closed(state, packet, decision, now)
             return
         if not self.budget.may_write("flow_decided", now):
             return
@@ -56,28 +54,23 @@
     def closed(
         self,
         state: TokenRelayState,
-        caller: Endpoint,
-        front: Endpoint,
+        packet: FlowPacket,
         decision: ResetFlow,
         now: float,
-        token: int | None = None,
     ) -> None:
         """Log that a flow was closed which its caller may have held open.
 
         These lines have a budget of their own, so that those of new flows cannot
         crowd them out.
-
-        :param token: the one in the packet that led to it, None if time did.
         """
         if not self.closings.may_write("flow_closed", now):
             return
         fields: dict[str, Any] = {
-            "flow": flow_text(caller, front),
+            "flow": flow_text(packet.caller, packet.front),
             "reason": decision.reason,
-            "by": "time" if token is None else "packet",
-            "packet_token": "none" if token is None else f"{token:08x}",
+            "packet_token": f"{packet.token:08x}",
             "routing": state.routing.version if state.routing else 0,
-            "routed": front in state.routes,
+            "routed": packet.front in state.routes,
             "loop_late_ms": milliseconds(self.lateness.worst(now)),
         }
         if decision.flow:
@@ -119,9 +112,9 @@
     """Return what this entry held of a flow that is closed."""
     busy_since = now if flow.busy_since is None else flow.busy_since
     return {
-        "held_token": f"{flow_token(flow.upstream.identity):08x}",
+        "held_token": f"{flow.token:08x}",
         "known_ms_ago": milliseconds(now - flow.known_from),
-        "quiet_ms": milliseconds(flow.quiet_seconds),
+        "quiet_ms": milliseconds(now - flow.seen_at),
         "busy_ms": milliseconds(now - busy_since),
     }
 
--- a/testing/transport/test_relay_log.py
+++ b/testing/transport/test_relay_log.py
@@ -51,12 +51,25 @@
         self.assertThat(closed, HasLength(1))
         line = closed[0]
         self.assertThat(line["reason"], Equals("upstream_ended"))
-        self.assertThat(line["by"], Equals("packet"))
+        self.assertThat(line["packet_token"], Equals(line["held_token"]))
         self.assertThat(line["held_token"], Equals(line["packet_token"]))
         self.assertThat((line["incarnation"], line["current"]), Equals((1, 2)))
         for name in ("quiet_ms", "heard_ms_ago", "answered_ms_ago", "loop_late_ms"):
             self.assertThat(line, Contains(name))
 
+    def test_the_line_of_a_closed_flow_tells_how_long_it_was_quiet(self) -> None:
+        """Guards against the gap before an earlier packet in its place."""
+        relay = RelayDriver(records=[make_record(1)])
+        log = RelayLog(counters=Counters())
+        opened = relay.open(40_001)
+        relay.hear(make_record(1), gone=True)
+        relay.now += 5.0
+        packet = make_packet(token=opened.token or 0)
+        decision = relay_packet(relay.state, packet, relay.now, relay.rng)
+        log.decided(relay.state, packet, decision, relay.now)
+        closed = [line for line in self.lines if line["event"] == "flow_closed"]
+        self.assertThat([line["quiet_ms"] for line in closed], Equals([5_000]))
+
 
 class LoopLatenessTests(TestCase):
     """Guards against a pause of the loop that does not show, or shows for ever."""
