Hold packets until what they lack is there, not until the next answer

Change: what still lacks is held on with the time of its arrival; packets that give way are counted.

Measured: test_a_packet_waits_for_the_table_although_other_answers_come_first fails on the code before.

--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -93,12 +93,12 @@
             self.counters.add("packets_refused", error.code)
             self.log.refused(sender, error, now)
             return
-        self.relay(data, packet, now, may_hold=True)
+        self.relay(data, packet, now, received_at=now)
 
     def relay(
-        self, data: bytes, packet: FlowPacket, now: float, may_hold: bool
+        self, data: bytes, packet: FlowPacket, now: float, received_at: float
     ) -> None:
-        """Carry out the decision on a packet."""
+        """Carry out the decision on a packet, or hold it for what it lacks."""
         decision = relay_packet(self.state, packet, now, self.rng)
         if isinstance(decision, Forward):
             if decision.token is not None and not packet.is_opening:
@@ -109,12 +109,19 @@
                 self.counters.add("packets_unsent", "upstream")
         elif isinstance(decision, ResetFlow):
             self.reset(packet.caller, packet.front, decision)
-        elif may_hold and decision.reason in HELD_REASONS:
-            self.held.append(HeldDatagram(data=data, at=now))
+        elif decision.reason in HELD_REASONS:
+            self.hold(HeldDatagram(data=data, at=received_at))
+            return
         else:
             self.counters.add("packets_dropped", decision.reason)
         self.note(packet, decision, now)
 
+    def hold(self, datagram: HeldDatagram) -> None:
+        """Keep a datagram for a moment; the oldest one gives way."""
+        if len(self.held) == HELD_PACKETS:
+            self.counters.add("packets_dropped", "hold_buffer_full")
+        self.held.append(datagram)
+
     def reset(self, caller: Endpoint, front: Endpoint, decision: ResetFlow) -> None:
         """Tell a caller that its flow is closed."""
         out, to = self.codec.reset(caller, front, decision.sequence)
@@ -133,13 +140,17 @@
             self.log.decided(self.state, packet, decision, now)
 
     def release_held(self) -> None:
-        """Relay the packets that waited, or drop those that have waited too long."""
+        """Relay the packets that waited, unless what they lack is not there yet.
+
+        Those that have waited too long are dropped.
+        """
         now = replica_clock()
         for held in [self.held.popleft() for _ in range(len(self.held))]:
             if now - held.at > HELD_SECONDS:
                 self.counters.add("packets_dropped", "held_too_long")
             else:
-                self.relay(held.data, self.codec.decode(held.data), now, may_hold=False)
+                packet = self.codec.decode(held.data)
+                self.relay(held.data, packet, now, received_at=held.at)
 
     async def watch_lateness(self) -> None:
         """Note how late timers run until cancelled."""
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -22,6 +22,7 @@
 from chervilstage.state.token_flows import TokenRelayState
 from chervilstage.state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
 from chervilstage.state.upstream_feed import FeedItem
+from chervilstage.transport.token_relay import PacketCodec
 
 FRONT = Address(host="198.18.0.1", port=443)
 SERVICE = "alley-desk"
@@ -81,6 +82,27 @@
     )
 
 
+def opening_codec(front: Address) -> PacketCodec:
+    """Return a codec that takes any bytes for one caller's opening packet."""
+    caller = Address(host="127.0.0.1", port=40_001)
+    packet = FlowPacket(
+        caller=endpoint_of(caller),
+        front=endpoint_of(front),
+        is_opening=True,
+        is_ending=False,
+        is_reset=False,
+        sequence=1,
+        acknowledged=0,
+        size=0,
+        token=0,
+    )
+    return PacketCodec(
+        decode=lambda data: packet,
+        forward=lambda data, label, token: data,
+        reset=lambda caller_end, front_end, sequence: (b"reset", tuple(caller)),
+    )
+
+
 class RelayDriver:
     """A relay with a clock that the test moves.
 
--- /dev/null
+++ b/testing/transport/test_token_entry.py
@@ -0,0 +1,71 @@
+"""What an entry does with the answers of control replicas."""
+
+from __future__ import annotations
+
+from chervilstage.state.configuration import RoutingDocument
+from chervilstage.state.counters import Counters
+from chervilstage.state.types import Address, Peer
+from chervilstage.state.upstream_feed import FeedAnswer, FeedItem
+from chervilstage.transport.datagrams import bound_address, open_datagram_socket
+from chervilstage.transport.token_entry import TokenEntry
+from testing.support.token_relays import (
+    FRONT,
+    SERVICE,
+    make_record,
+    make_routing,
+    opening_codec,
+)
+
+REPLICA = Address(host="10.0.1.1", port=1)
+NEW_FRONT = Address(host="198.18.0.9", port=443)
+
+
+def make_answer(version: int, *items: FeedItem) -> FeedAnswer:
+    """Return an answer of a replica that has a version of the table."""
+    return FeedAnswer(
+        run=1,
+        cursor=version,
+        revision=version,
+        is_current=True,
+        routing_version=version,
+        out=frozenset(),
+        items=items,
+        replicas=(),
+        entries=(),
+    )
+
+
+def test_a_packet_waits_for_the_table_although_other_answers_come_first() -> None:
+    """Guards against packets dropped by the answer that only tells of a table."""
+    upstream = open_datagram_socket("127.0.0.1", 0)
+    record = make_record(1)
+    identity = record.identity._replace(address=bound_address(upstream))
+    record = record._replace(identity=identity)
+    entry = TokenEntry(
+        own=Peer(name="entry-1", data_centre="", address=Address("10.0.0.1", 1)),
+        relay_address=Address(host="127.0.0.1", port=0),
+        listed=lambda: [REPLICA],
+        decode_routing=lambda document: make_routing(
+            SERVICE,
+            version=document.version,
+            front=FRONT if document.version == 1 else NEW_FRONT,
+        ),
+        codec=opening_codec(NEW_FRONT),
+        key=b"",
+        counters=Counters(),
+        announcement_seconds=1.2,
+    )
+    entry.take(REPLICA, make_answer(1, FeedItem(record, 0.0, is_gone=False)))
+    entry.take_routing(RoutingDocument(version=1, content=b""))
+    entry.take(REPLICA, make_answer(2))
+    entry.relay.receive(b"opening", ("127.0.0.1", 1))
+    assert len(entry.relay.held) == 1
+    entry.take(REPLICA, make_answer(2))
+    entry.take_routing(RoutingDocument(version=2, content=b""))
+    try:
+        received = upstream.recv(100)
+    except BlockingIOError:
+        received = b""
+    upstream.close()
+    entry.relay.sock.close()
+    assert received == b"opening"
