Give the fetch of a routing table more time after each failure, whichever replica is left

An entry that reached one replica with the new table never got it where the transfer takes longer than a second: a failure removed the only source, and when the replica told of the version again, the next fetch had one second once more.

Change: the time allowed belongs to the fetcher and goes back to a second after a success.

Measured: test_a_table_that_one_replica_has_is_carried_to_its_end fails on the code before.

--- a/src/chervilstage/transport/routing_fetcher.py
+++ b/src/chervilstage/transport/routing_fetcher.py
@@ -49,6 +49,7 @@
         self.take = take
         self.sources: dict[Address, int] = {}
         self.wanted = 0
+        self.patience_seconds = FETCH_SECONDS
         self.news = anyio.Event()
         self.rng = Random()
 
@@ -89,18 +90,21 @@
 
     async def fetch_wanted(self) -> None:
         """Fetch until the wanted version is held or no replica has it."""
-        seconds = FETCH_SECONDS
         while self.held() < self.wanted:
             address = self.newest_source()
             if address is None:
                 return
             try:
-                self.take(await self.fetch(address, seconds))
+                self.take(await self.fetch(address, self.patience_seconds))
             except ChervilstageError as error:
                 self.sources.pop(address, None)
                 _log_failure(address, self.wanted, error)
-                seconds = min(2 * seconds, LONGEST_FETCH_SECONDS)
+                self.patience_seconds = min(
+                    2 * self.patience_seconds, LONGEST_FETCH_SECONDS
+                )
                 await anyio.sleep(RETRY_SECONDS * (0.5 + self.rng.random()))
+            else:
+                self.patience_seconds = FETCH_SECONDS
 
     async def run(self) -> None:
         """Fetch each new version until cancelled."""
--- a/testing/transport/test_routing_spread.py
+++ b/testing/transport/test_routing_spread.py
@@ -31,8 +31,10 @@
 class Spread:
     """An entry behind a slow link and the replicas that it follows."""
 
-    def __init__(self, *, folder: Path, link: SlowLink) -> None:
-        members = make_members(REPLICAS)
+    def __init__(
+        self, *, folder: Path, link: SlowLink, replicas: int = REPLICAS
+    ) -> None:
+        members = make_members(replicas)
         self.link = link
         self.servers = [
             make_server(link, members, member, folder) for member in members.members
@@ -131,3 +133,18 @@
         assert await seconds_until(lambda: spread.entry.revision == 2, 12.0) < 10.0
 
     anyio.run(follow, spread, play)
+
+
+def test_a_table_that_one_replica_has_is_carried_to_its_end(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a transfer without end where no second replica is in reach."""
+    link = SlowLink()
+    monkeypatch.setattr(token_entry, "FrameClient", lambda **fields: link)
+    spread = Spread(folder=tmp_path, link=link, replicas=1)
+
+    async def play() -> None:
+        spread.publish(2, Random(1).randbytes(4 * LARGE_BYTES))
+        assert await seconds_until(lambda: spread.entry.revision == 2, 16.0) < 16.0
+
+    anyio.run(follow, spread, play)
