--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -308,3 +308,20 @@
         group.run(1.0)
         self.assertThat(group.broken, Equals([]))
         self.assertThat(group.seen_by[flow], Equals({"e2", "e3"}))
+
+    def test_an_upstream_whose_announcements_are_lost_keeps_its_flows(self) -> None:
+        """Guards against flows that move because their upstream is not heard."""
+        group = started_group(5)
+        for flow in range(100):
+            group.packet("e2", SERVICES[0], flow)
+        silent = next(iter(group.first.values()))
+        record = group.records[silent.address]
+        for name in NAMES:
+            group.nodes[name].state.registry.remove(silent.address, group.clock.now)
+        del group.records[silent.address]
+        group.settle()
+        group.records[silent.address] = record
+        for flow in range(100):
+            group.packet("e2", SERVICES[0], flow)
+        group.run(1.0)
+        self.assertThat(group.broken, Equals([]))
