Open a flow by any of the first packets, since they overtake each other

About a fifth of the callers with a flow for each request were answered 200 ms late: the second packet of a request often arrives before the first one, and since provisional tokens an entry dropped it until the first byte had come, so that the caller had to repeat it.

Change: where the first copy of the opening packet came here, any packet within a caller's window opens the flow; where only a later copy did, the first byte still decides.

The new test fails on the code before.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -2,10 +2,10 @@
 
 An opening packet goes to a chosen upstream and carries its token, and a copy of it may
 go to a second one; both may answer. The flow opens at the upstream whose token comes
-with the first byte after the opening packet. The entry that sees this gives the caller
-the plain token, which it returns in all later packets, so that any entry can relay
-them. A flow that this entry has seen open stays at its upstream whatever later packets
-carry, and other entries relay no packet by the token of an opening packet.
+with the first packets after that. The entry that sees this gives the caller the plain
+token, which it returns in all later packets, so that any entry can relay them. A flow
+that this entry has seen open stays at its upstream whatever later packets carry, and
+other entries relay no packet by the token of an opening packet.
 
 An open flow is closed only when its route is removed or its upstream has ended.
 Silence keeps new flows away from an upstream and closes none: an entry sees only the
@@ -130,6 +130,7 @@
             return _refuse(state, packet, now)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
         flow.highest = flow.opening = packet.sequence
+        flow.opening_copy = packet.copy
         _take(state, flow, now)
     elif flow.is_open:
         return DropPacket(reason="late_copy")
@@ -206,10 +207,15 @@
 
 
 def _opens(flow: TokenFlow | None, packet: FlowPacket) -> bool:
-    """Tell whether a packet is the first after the opening packet that came here."""
+    """Tell whether a packet is among the first after an opening packet seen here.
+
+    Packets overtake each other. Where the first copy did not come here, the flow may
+    have opened and gone on elsewhere, so only its first byte tells.
+    """
     if flow is None or flow.opening is None:
         return False
-    return (packet.sequence - flow.opening) % NUMBER_SPACE <= 1
+    limit = 1 if flow.opening_copy else WINDOW_BYTES
+    return (packet.sequence - flow.opening) % NUMBER_SPACE <= limit
 
 
 def _relay_to_ended(
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -86,6 +86,14 @@
             label = getattr(later, "label", None)
             self.assertThat(label, Not(Equals(half_open.label)))
 
+    def test_a_packet_that_overtakes_the_first_one_opens_the_flow(self) -> None:
+        """Guards against requests that wait for a repeated packet."""
+        opening = self.first.send(40_001, opening=True)
+        later = self.first.send(
+            40_001, token=opening.token or 0, sequence=2 + 15 * 1200, size=1200
+        )
+        self.assertThat(getattr(later, "label", None), Equals(opening.label))
+
     def test_an_entry_that_saw_a_late_copy_does_not_take_the_flow_for_opened_there(
         self,
     ) -> None:
