Make a view above one that another coordinator left prepared or in force

Callers saw new upstreams that got no flows, and flows that were asked about at each entry, for as long as no entry was lost again.

Cause: an entry refuses a view that is older than one it has prepared or in force, and says nothing. A coordinator that was not heard for a lease, while it heard the others, found out only if it had no round of its own that waited for acknowledgements. A view that the other coordinator had only prepared was reported by nobody; entries that hold a prepared view pull no lists, so they never settled and the coordinator's round never ended.

Both new tests fail without the change: one with a view that is refused for ever, one with a view that stays prepared.

Change: each heartbeat names the newest view that is prepared or in force at its sender. A coordinator whose own view or round does not supersede it makes the next one above it.

--- a/src/chervilstage/coordination/view_change.py
+++ b/src/chervilstage/coordination/view_change.py
@@ -72,6 +72,8 @@
     force here are unsettled from the acknowledgement on.
     """
     state.prepared = view
+    report = state.members.report
+    state.members.report = report._replace(newest_view=view.identity)
     state.prepared_urgent = urgent
     state.acknowledged = False
     if state.finished:
--- a/src/chervilstage/coordination/view_rounds.py
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -78,7 +78,7 @@
     if not is_coordinator(state):
         state.round = None
         return []
-    if (state.round is None or state.round.active) and _is_behind(state):
+    if _is_behind(state):
         state.differing_views = True
     weights = view_weights(state)
     urgent = must_move(weights, target_view(state)) or state.differing_views
@@ -90,13 +90,20 @@
 
 
 def _is_behind(state: FlowState) -> bool:
-    """Tell whether other entries may have a view in force that is not this entry's.
+    """Tell whether an entry has a view that the one of this coordinator cannot replace.
 
     Another coordinator prepared it and is gone, or made it while this entry was lost.
+    An entry takes no older view, and asks for no lists while a view is prepared that
+    never comes into force.
     """
-    number = state.view.identity.number
-    newer = any(_reported_view(state, n) > number for n in state.members.live_names)
-    return newer or state.prepared is not None
+    view = target_view(state).identity
+    reports = [state.members.members[n].report for n in state.members.live_names]
+    newest = [report.newest_view for report in reports]
+    if state.prepared is not None:
+        newest.append(state.prepared.identity)
+    return any(other.supersedes(view) for other in newest) or any(
+        report.view_number > view.number for report in reports
+    )
 
 
 def target_view(state: FlowState) -> View:
--- a/src/chervilstage/protocol/membership_messages.py
+++ b/src/chervilstage/protocol/membership_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..state.members import Heartbeat, MemberReport
+from ..state.view import ViewId
 from .schemas import pack, schema, unpack
 
 
@@ -18,6 +19,8 @@
             viewNumber=report.view_number,
             epoch=report.epoch,
             leaving=report.leaving,
+            newestNumber=report.newest_view.number,
+            newestCoordinator=report.newest_view.coordinator,
         )
     )
 
@@ -37,5 +40,8 @@
             view_number=message.viewNumber,
             epoch=message.epoch,
             leaving=message.leaving,
+            newest_view=ViewId(
+                number=message.newestNumber, coordinator=message.newestCoordinator
+            ),
         ),
     )
--- a/src/chervilstage/protocol/schema/membership.capnp
+++ b/src/chervilstage/protocol/schema/membership.capnp
@@ -8,4 +8,6 @@
   viewNumber @4 :UInt32;
   epoch @5 :UInt32;
   leaving @6 :Bool;
+  newestNumber @7 :UInt32;
+  newestCoordinator @8 :Text;
 }
--- a/src/chervilstage/state/flow_state.py
+++ b/src/chervilstage/state/flow_state.py
@@ -306,6 +306,9 @@
 
     def next_view_id(self) -> ViewId:
         """Return an identity above every number that has been seen."""
-        reported = (m.report.view_number for m in self.members.members.values())
-        self.highest = max(self.highest, self.view.identity.number, *reported, 0) + 1
+        reports = [m.report for m in self.members.members.values()]
+        in_force = [report.view_number for report in reports]
+        newest = [report.newest_view.number for report in reports]
+        number = self.view.identity.number
+        self.highest = max(self.highest, number, *in_force, *newest) + 1
         return ViewId(number=self.highest, coordinator=self.name)
--- a/src/chervilstage/state/members.py
+++ b/src/chervilstage/state/members.py
@@ -6,14 +6,15 @@
 from typing import NamedTuple
 
 from .types import Peer
+from .view import ViewId
 
 
 class MemberReport(NamedTuple):
     """What an entry says of itself in each heartbeat.
 
     ``incarnation`` tells apart successive runs of an entry. ``revision`` is the
-    configuration in force, ``view_number`` the view in force and ``epoch`` the group
-    epoch.
+    configuration in force, ``view_number`` the view in force, ``newest_view`` the
+    newest view that is prepared or in force, and ``epoch`` the group epoch.
     """
 
     incarnation: int = 0
@@ -21,6 +22,7 @@
     view_number: int = 0
     epoch: int = 0
     leaving: bool = False
+    newest_view: ViewId = ViewId()
 
 
 class Heartbeat(NamedTuple):
--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -15,8 +15,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
+from chervilstage.state.flow_messages import ViewPrepare
 from chervilstage.state.types import UpstreamPhase
-from chervilstage.state.view import bucket_of
+from chervilstage.state.view import ViewId, bucket_of
 from testing.support.flow_group import SERVICES, FlowGroup
 
 NAMES = ["e1", "e2", "e3", "e4"]
@@ -308,3 +309,35 @@
         group.run(1.0)
         self.assertThat(group.broken, Equals([]))
         self.assertThat(group.seen_by[flow], Equals({"e2", "e3"}))
+
+    def test_change_comes_into_force_after_another_coordinator_made_newer_views(
+        self,
+    ) -> None:
+        group = started_group(7)
+        group.network.muted.add("e1")
+        for port in (80, 81):
+            group.add_upstream(SERVICES[0], port)
+            group.run(3.0)
+        group.network.muted.clear()
+        group.add_upstream(SERVICES[0], 82)
+        group.run(30.0)
+        self.assertTrue(group.settle(), "a view is refused for ever")
+        views = [node.state.view for node in group.nodes.values()]
+        self.assertThat([v.upstream_count() for v in views], Equals([11] * 4))
+
+    def test_view_that_its_coordinator_left_prepared_gives_way_to_a_newer_one(
+        self,
+    ) -> None:
+        group = started_group(8)
+        held = group.nodes["e3"].state
+        prepare = ViewPrepare(
+            view=ViewId(number=9, coordinator="e2"),
+            base=held.view.identity,
+            urgent=True,
+            moves=(),
+        )
+        group.receive("e3", "e2", prepare)
+        group.run(10.0)
+        self.assertThat(held.prepared, Equals(None))
+        numbers = [node.state.view.identity.number for node in group.nodes.values()]
+        self.assertThat(numbers, Equals([10] * 4))
--- a/testing/protocol/test_flow_encoding.py
+++ b/testing/protocol/test_flow_encoding.py
@@ -12,6 +12,10 @@
     decode_flow_message,
     encode_flow_message,
 )
+from chervilstage.protocol.membership_messages import (
+    decode_heartbeat,
+    encode_heartbeat,
+)
 from chervilstage.protocol.proxy_header import (
     PREFIX_BYTES,
     encode_header,
@@ -21,6 +25,7 @@
     unpacked_address,
 )
 from chervilstage.state.flow_messages import ListPage, PinItem, PinQuery
+from chervilstage.state.members import Heartbeat, MemberReport
 from chervilstage.state.types import Address, UpstreamId
 from chervilstage.state.view import ViewId
 
@@ -80,6 +85,15 @@
             ordered = decoded._replace(items=tuple(sorted(decoded.items)))  # type: ignore[union-attr,call-arg,arg-type]
             self.assertThat(ordered, Equals(message))
 
+    @given(st.integers(0, 2**32 - 1), st.text(max_size=12))
+    def test_heartbeat_carries_the_newest_view(self, number: int, name: str) -> None:
+        report = MemberReport(
+            incarnation=5, newest_view=ViewId(number=number, coordinator=name)
+        )
+        heartbeat = Heartbeat(sent_at=1.5, echo=0.5, report=report)
+        decoded = decode_heartbeat(encode_heartbeat(heartbeat))
+        self.assertThat(decoded, Equals(heartbeat))
+
     @given(st.binary(max_size=60), st.sampled_from(sorted(KINDS.values())))
     def test_foreign_bytes_raise_a_typed_error(self, data: bytes, kind: int) -> None:
         chosen = next(k for k in KINDS.values() if k == kind)
--- a/testing/support/fakes.py
+++ b/testing/support/fakes.py
@@ -28,6 +28,8 @@
 class FakeNetwork:
     """Delivers messages late, out of order, or not at all.
 
+    ``muted`` are the senders whose messages do not arrive, though they hear others.
+
     :param loss: the share of messages that are lost.
     :param delay: the longest delay in seconds; each message has its own.
     """
@@ -40,12 +42,13 @@
         self.loss = loss
         self.delay = delay
         self.cuts: set[frozenset[str]] = set()
+        self.muted: set[str] = set()
         self.parcels: list[Parcel] = []
         self.orders = itertools.count()
 
     def send(self, sender: str, receiver: str, message: object) -> None:
         """Put a message on its way."""
-        lost = self.rng.random() < self.loss
+        lost = self.rng.random() < self.loss or sender in self.muted
         if lost or frozenset((sender, receiver)) in self.cuts:
             return
         at = self.clock.now + self.rng.random() * self.delay
