Take a prepared batch of a planned change along in an urgent one

Callers saw upstreams that had joined get no flows while the machine of the coordinator was short of processor time: the coordinator put view after view in force with the same upstreams, every second number.

Cause: a planned change waits for lists before it comes into force. A pause of half a lease at the coordinator, or a peer that was lost for a moment, replaces it by an urgent change, which moved only what has to move. The next planned change began anew and met the next pause.

Over the fakes, with a coordinator that pauses for 0.6 s in each planned change, the new upstream had no bucket after 1,500 ticks; the new test fails without the change.

Change: where a view has been prepared and is not in force, an urgent change moves a batch as well.

--- a/src/chervilstage/coordination/view_rounds.py
+++ b/src/chervilstage/coordination/view_rounds.py
@@ -123,7 +123,10 @@
     inputs = (weights, state.view.identity, state.differing_views)
     if inputs == state.last_inputs:
         return
-    batch = 0 if urgent else batch_of(state)
+    # A batch that has been prepared goes along with an urgent change: where urgent ones
+    # keep coming, it would otherwise begin anew for ever.
+    begun = state.prepared is not None
+    batch = batch_of(state) if begun or not urgent else 0
     view = compute_view(ViewId(), weights, state.view, batch)
     if not changed_buckets(state.view, view) and not state.differing_views:
         state.last_inputs = inputs
--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -341,3 +341,16 @@
         self.assertThat(held.prepared, Equals(None))
         numbers = [node.state.view.identity.number for node in group.nodes.values()]
         self.assertThat(numbers, Equals([10] * 4))
+
+    def test_pauses_in_each_planned_change_do_not_put_it_off_for_ever(self) -> None:
+        group = started_group(9)
+        node = group.nodes["e1"]
+        added = group.add_upstream(SERVICES[0], 90)
+        for _ in range(1_500):
+            group.tick()
+            held = node.state.round
+            if held is not None and not held.active and not held.urgent:
+                node.frozen = True
+                group.run(0.6)
+                group.thaw("e1")
+        self.assertIn(added, node.state.view.buckets(SERVICES[0]))
