Tell a flow again that only a repeated early list has told

Callers saw an open flow go to another upstream when a packet of it came to another entry after a planned change, though no entry was lost.

Cause: an entry asks again for an early list after 0.3 s. It takes the first answer and ignores the second, but the peer counted what it told in either. A flow pinned between the two answers was so left out of the final list, and the asking entry placed the flow by the new view.

The messages of one such flow show the two answers. The new test fails without the change: the final list is empty.

Change: an entry keeps up to which key of each bucket it has told a peer. A key below it that comes with a repeated request is uncertain: it still counts as told where that makes this entry tell others, but it is not left out of the final list.

--- a/src/chervilstage/coordination/pin_lists.py
+++ b/src/chervilstage/coordination/pin_lists.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from ..state.flow_messages import ListPage, ListRequest, PinItem
-from ..state.flow_state import FlowKey, FlowState, PullPosition
+from ..state.flow_state import FlowKey, FlowState, PullPosition, ServiceBucket
 from ..state.types import UpstreamId
-from ..state.view import View
+from ..state.view import KEY_MASK, View
 from .flow_effects import FlowEffect, SendPeer
 from .pin_queries import take_told
 from .view_change import acknowledge_view
@@ -104,6 +104,7 @@
         return []
     if view is None or request.service not in state.tables:
         return []
+    counts = not request.whole and request.early == (state.prepared is not None)
     items: list[PinItem] = []
     done: list[int] = []
     after, partial = request.after, -1
@@ -112,16 +113,18 @@
         rest = [item for item in told if item.key > after]
         room = PAGE_ITEMS - len(items)
         items.extend(rest[:room])
-        if len(rest) > room:
+        is_done = len(rest) <= room
+        if not is_done:
             partial = bucket
             after = rest[room - 1].key if room else after
+        if counts:
+            place = ServiceBucket(service=request.service, bucket=bucket)
+            keys = [item.key for item in rest[:room]]
+            state.exchange.tell(sender, place, keys, KEY_MASK if is_done else after)
+        if not is_done:
             break
         done.append(bucket)
         after = 0
-    if not request.whole and request.early == (state.prepared is not None):
-        state.exchange.told[sender].update(
-            FlowKey(service=request.service, key=item.key) for item in items
-        )
     page = ListPage(
         view=request.view,
         service=request.service,
@@ -165,14 +168,12 @@
     if request.whole:
         pins = {**state.exceptions[service].buckets[bucket], **pins}
     else:
-        exchange = state.exchange
-        left_out = [exchange.heard, exchange.common]
-        if request.had_early and not request.early:
-            left_out.append(exchange.told_early[sender])
+        is_left_out = state.exchange.is_left_out
+        had_early = request.had_early and not request.early
         pins = {
             key: pin
             for key, pin in pins.items()
-            if not any(FlowKey(service=service, key=key) in s for s in left_out)
+            if not is_left_out(sender, FlowKey(service=service, key=key), had_early)
         }
     return [
         PinItem(key=key, upstream=pins[key].upstream, number=pins[key].number)
--- a/src/chervilstage/state/flow_state.py
+++ b/src/chervilstage/state/flow_state.py
@@ -24,6 +24,13 @@
     key: int
 
 
+class ServiceBucket(NamedTuple):
+    """A bucket of a service."""
+
+    service: str
+    bucket: int
+
+
 class PendingFlow(NamedTuple):
     """A flow without a pin whose peers have been asked.
 
@@ -89,11 +96,17 @@
     early is left out after activation, for the peer that was told: a flow may be
     pinned between the early lists of two peers. ``common`` are the keys that every
     entry has heard of in earlier exchanges.
+
+    ``told_up_to`` is the last key told of a bucket by peer. A peer that repeats its
+    request may have taken the first answer, so a key that only the answers to repeated
+    requests told is ``uncertain``: the peer is told of it again.
     """
 
     def __init__(self) -> None:
         self.told_early: defaultdict[str, set[FlowKey]] = defaultdict(set)
         self.told: defaultdict[str, set[FlowKey]] = defaultdict(set)
+        self.told_up_to: defaultdict[str, dict[ServiceBucket, int]] = defaultdict(dict)
+        self.uncertain: defaultdict[str, set[FlowKey]] = defaultdict(set)
         self.heard: set[FlowKey] = set()
         self.common: set[FlowKey] = set()
 
@@ -101,6 +114,8 @@
         """Begin the exchange of another view."""
         self.told_early.clear()
         self.told.clear()
+        self.told_up_to.clear()
+        self.uncertain.clear()
         self.heard.clear()
 
     def activate(self) -> None:
@@ -108,6 +123,31 @@
         for peer, keys in self.told.items():
             self.told_early[peer] |= keys
         self.told.clear()
+        self.told_up_to.clear()
+
+    def tell(
+        self, peer: str, place: ServiceBucket, keys: list[int], up_to: int
+    ) -> None:
+        """Record that a peer is told of keys of a bucket, which ends with ``up_to``."""
+        told_up_to = self.told_up_to[peer].get(place, -1)
+        for key in keys:
+            flow = FlowKey(service=place.service, key=key)
+            if key > told_up_to:
+                self.uncertain[peer].discard(flow)
+            elif flow not in self.told[peer]:
+                self.uncertain[peer].add(flow)
+            self.told[peer].add(flow)
+        self.told_up_to[peer][place] = max(told_up_to, up_to)
+
+    def is_left_out(self, peer: str, flow: FlowKey, had_early: bool) -> bool:
+        """Tell whether a peer hears of a flow from others or has heard of it.
+
+        :param had_early: whether the peer has all early lists of this entry.
+        """
+        if flow in self.heard or flow in self.common:
+            return True
+        told = had_early and flow in self.told_early[peer]
+        return told and flow not in self.uncertain[peer]
 
     def hear(self, flow: FlowKey) -> None:
         """Record that a peer tells everyone of a flow."""
@@ -116,14 +156,16 @@
             self.heard.add(flow)
 
     def mentioned(self) -> set[FlowKey]:
-        """Return the flows that this exchange has told or heard of."""
-        return self.heard.union(*self.told_early.values(), *self.told.values())
+        """Return the flows that every entry has heard of in this exchange."""
+        told = self.heard.union(*self.told_early.values(), *self.told.values())
+        return told.difference(*self.uncertain.values())
 
     def forget(self, flow: FlowKey) -> None:
         """Forget a flow, as its key may come to mean another one."""
         self.heard.discard(flow)
         self.common.discard(flow)
-        for keys in (*self.told_early.values(), *self.told.values()):
+        by_peer = (self.told_early, self.told, self.uncertain)
+        for keys in (keys for told in by_peer for keys in told.values()):
             keys.discard(flow)
 
 
--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -15,9 +15,18 @@
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
-from chervilstage.state.flow_messages import ViewPrepare
+from chervilstage.coordination.flow_effects import SendPeer
+from chervilstage.coordination.flow_events import take_flow_message
+from chervilstage.coordination.pin_lists import answer_list
+from chervilstage.state.flow_messages import (
+    BucketMove,
+    ListPage,
+    ListRequest,
+    ViewActivate,
+    ViewPrepare,
+)
 from chervilstage.state.types import UpstreamPhase
-from chervilstage.state.view import ViewId, bucket_of
+from chervilstage.state.view import ViewId, bucket_of, flow_key
 from testing.support.flow_group import SERVICES, FlowGroup
 
 NAMES = ["e1", "e2", "e3", "e4"]
@@ -354,3 +363,37 @@
                 group.run(0.6)
                 group.thaw("e1")
         self.assertIn(added, node.state.view.buckets(SERVICES[0]))
+
+    def test_flow_pinned_between_two_answers_to_one_early_request_is_told_finally(
+        self,
+    ) -> None:
+        group = started_group(10)
+        state = group.nodes["e3"].state
+        flow = flow_key(group.seeds[SERVICES[0]], (7).to_bytes(6, "big"))
+        buckets = state.view.buckets(SERVICES[0])
+        upstream = next(u for u in buckets if u != buckets[bucket_of(flow)])
+        view = ViewId(number=9, coordinator="e1")
+        move = BucketMove(
+            service=SERVICES[0], upstream=upstream, buckets=(bucket_of(flow),)
+        )
+        prepare = ViewPrepare(
+            view=view, base=state.view.identity, urgent=False, moves=(move,)
+        )
+        take_flow_message(state, "e1", prepare, group.clock.now)
+        early = ListRequest(
+            view=view,
+            service=SERVICES[0],
+            buckets=(bucket_of(flow),),
+            after=0,
+            early=True,
+            whole=False,
+            had_early=False,
+        )
+        answer_list(state, "e1", early)
+        group.packet("e3", SERVICES[0], 7)
+        answer_list(state, "e1", early)
+        take_flow_message(state, "e1", ViewActivate(view=view), group.clock.now)
+        (final,) = answer_list(state, "e1", early._replace(early=False, had_early=True))
+        assert isinstance(final, SendPeer)
+        assert isinstance(final.message, ListPage)
+        self.assertThat([item.key for item in final.message.items], Equals([flow]))
