Score each bucket once for a pair when a planned view is computed

Callers saw packets wait at the coordinator while it computed the view of a new upstream, and with little processor time the upstream got no flows: the coordinator put view after view in force with one upstream, every second number.

Cause: each bucket that moved had the scores of all buckets of its giver looked up, half a million for a move from one upstream to three or four. The loop stood still meanwhile. Half a second counts as a pause, after which the coordinator drops its round and begins an urgent one, so it put off its own planned change as soon as the computation took that long.

Evidence: compute_view took 0.23 to 0.31 s for a batch of 1,024 beside a load of 21.

Change: the buckets of a giver are sorted once for each taker.

--- a/src/chervilstage/coordination/view.py
+++ b/src/chervilstage/coordination/view.py
@@ -40,6 +40,11 @@
     return shares
 
 
+def _by_score(service: str, buckets: list[int], upstream: UpstreamId) -> list[int]:
+    """Return buckets in the order in which an upstream suits them, the best last."""
+    return sorted(buckets, key=lambda b: (_score(service, b, upstream), -b))
+
+
 def compute_buckets(
     service: str,
     weights: Mapping[UpstreamId, float],
@@ -65,14 +70,22 @@
         chosen = bucket_order(service, bucket, open_to)[0]
         result[bucket] = chosen
         room[chosen] -= 1
+    upstreams = sorted(room)
+    # Each pair is sorted once: scores of all buckets held for each move took 0.2 s, in
+    # which the coordinator sends no heartbeat and begins to count as paused itself.
+    orders: dict[tuple[UpstreamId, UpstreamId], list[int]] = {}
     for _ in range(batch):
-        taker = max(sorted(room), key=lambda u: room[u])
-        giver = min(sorted(room), key=lambda u: room[u])
+        taker = max(upstreams, key=lambda u: room[u])
+        giver = min(upstreams, key=lambda u: room[u])
         if room[taker] <= 0 or room[giver] >= 0:
             break
-        held = [b for b, upstream in enumerate(result) if upstream == giver]
-        moved = max(held, key=lambda b: _score(service, b, taker))
-        result[moved] = taker
+        if (giver, taker) not in orders:
+            held = [b for b, upstream in enumerate(result) if upstream == giver]
+            orders[(giver, taker)] = _by_score(service, held, taker)
+        order = orders[(giver, taker)]
+        while result[order[-1]] != giver:
+            order.pop()
+        result[order.pop()] = taker
         room[taker] -= 1
         room[giver] += 1
     return tuple(result)
