--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -15,8 +15,18 @@
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
+from chervilstage.coordination.flow_effects import SendPeer
+from chervilstage.coordination.flow_events import take_flow_message
+from chervilstage.coordination.pin_lists import answer_list
+from chervilstage.state.flow_messages import (
+    BucketMove,
+    ListPage,
+    ListRequest,
+    ViewActivate,
+    ViewPrepare,
+)
 from chervilstage.state.types import UpstreamPhase
-from chervilstage.state.view import bucket_of
+from chervilstage.state.view import ViewId, bucket_of, flow_key
 from testing.support.flow_group import SERVICES, FlowGroup
 
 NAMES = ["e1", "e2", "e3", "e4"]
@@ -325,3 +335,82 @@
             group.packet("e2", SERVICES[0], flow)
         group.run(1.0)
         self.assertThat(group.broken, Equals([]))
+
+    def test_change_comes_into_force_after_another_coordinator_made_newer_views(
+        self,
+    ) -> None:
+        group = started_group(7)
+        group.network.muted.add("e1")
+        for port in (80, 81):
+            group.add_upstream(SERVICES[0], port)
+            group.run(3.0)
+        group.network.muted.clear()
+        group.add_upstream(SERVICES[0], 82)
+        group.run(30.0)
+        self.assertTrue(group.settle(), "a view is refused for ever")
+        views = [node.state.view for node in group.nodes.values()]
+        self.assertThat([v.upstream_count() for v in views], Equals([11] * 4))
+
+    def test_view_that_its_coordinator_left_prepared_gives_way_to_a_newer_one(
+        self,
+    ) -> None:
+        group = started_group(8)
+        held = group.nodes["e3"].state
+        prepare = ViewPrepare(
+            view=ViewId(number=9, coordinator="e2"),
+            base=held.view.identity,
+            urgent=True,
+            moves=(),
+        )
+        group.receive("e3", "e2", prepare)
+        group.run(10.0)
+        self.assertThat(held.prepared, Equals(None))
+        numbers = [node.state.view.identity.number for node in group.nodes.values()]
+        self.assertThat(numbers, Equals([10] * 4))
+
+    def test_pauses_in_each_planned_change_do_not_put_it_off_for_ever(self) -> None:
+        group = started_group(9)
+        node = group.nodes["e1"]
+        added = group.add_upstream(SERVICES[0], 90)
+        for _ in range(1_500):
+            group.tick()
+            held = node.state.round
+            if held is not None and not held.active and not held.urgent:
+                node.frozen = True
+                group.run(0.6)
+                group.thaw("e1")
+        self.assertIn(added, node.state.view.buckets(SERVICES[0]))
+
+    def test_flow_pinned_between_two_answers_to_one_early_request_is_told_finally(
+        self,
+    ) -> None:
+        group = started_group(10)
+        state = group.nodes["e3"].state
+        flow = flow_key(group.seeds[SERVICES[0]], (7).to_bytes(6, "big"))
+        buckets = state.view.buckets(SERVICES[0])
+        upstream = next(u for u in buckets if u != buckets[bucket_of(flow)])
+        view = ViewId(number=9, coordinator="e1")
+        move = BucketMove(
+            service=SERVICES[0], upstream=upstream, buckets=(bucket_of(flow),)
+        )
+        prepare = ViewPrepare(
+            view=view, base=state.view.identity, urgent=False, moves=(move,)
+        )
+        take_flow_message(state, "e1", prepare, group.clock.now)
+        early = ListRequest(
+            view=view,
+            service=SERVICES[0],
+            buckets=(bucket_of(flow),),
+            after=0,
+            early=True,
+            whole=False,
+            had_early=False,
+        )
+        answer_list(state, "e1", early)
+        group.packet("e3", SERVICES[0], 7)
+        answer_list(state, "e1", early)
+        take_flow_message(state, "e1", ViewActivate(view=view), group.clock.now)
+        (final,) = answer_list(state, "e1", early._replace(early=False, had_early=True))
+        assert isinstance(final, SendPeer)
+        assert isinstance(final.message, ListPage)
+        self.assertThat([item.key for item in final.message.items], Equals([flow]))
