Let every control replica beside the voters follow as a learner

A voter that was replaced while its disk was full joined them. Cause: a replica was let in only where a voter was missing or silent, so the others never heard the leader. Change: each replica that asks enters as a learner, one for each voter at most. A learner hands calls over and holds the log, so that it replaces a silent voter at once. A learner that is silent itself takes no place; it could before, until the log went on.

--- a/src/chervilstage/coordination/replica_members.py
+++ b/src/chervilstage/coordination/replica_members.py
@@ -4,9 +4,10 @@
 replica whose disk is blank has another identity; its old one leaves the set in the
 same step in which the new one enters as a learner, so one step changes one voter.
 
-A replica that is not in the set and asks to join enters where the set has room, or
-where a voter has been silent for some time: first as a learner, then the silent voter
-leaves, then the learner votes. Each step needs a majority of the set before it.
+Where replicas keep the number of voters up by themselves, each one that asks enters as
+a learner. A learner hears the leader, so that it can hand calls over. It holds the log,
+so that it can replace a voter that is silent for some time: the silent voter leaves,
+then the learner votes. Each step needs a majority of the set before it.
 """
 
 from __future__ import annotations
@@ -106,7 +107,10 @@
 def admit(
     replica: Replica, hello: Hello, size: int, now: float, at: float
 ) -> list[ReplicaEffect]:
-    """Let a replica that is not in the set enter as a learner, if there is a place.
+    """Let a replica that is not in the set enter as a learner.
+
+    A learner for each voter is enough to replace all of them; more would only add to
+    what the leader sends.
 
     :param size: the number of voters that the set should have.
     :param at: seconds since the epoch.
@@ -117,8 +121,7 @@
     if not may_change_members(replica, now):
         return []
     learners = len(members.members) - len(members.voters())
-    places = size - len(members.voters()) + len(silent_voters(replica, now))
-    if learners >= places:
+    if learners >= size:
         return []
     text = f"replica {hello.name} enters as a learner"
     return _propose_set(replica, members.with_member(_member(hello)), text, now, at)
@@ -154,7 +157,9 @@
         ):
             text = f"learner {learner.name} is silent and leaves"
             return _propose_set(replica, members.without(learner.name), text, now, at)
-        if progress.matched != replica.log.last_index:
+        if progress.matched != replica.log.last_index or (
+            size is not None and _is_silent(replica, learner, SILENT_VOTER_SECONDS, now)
+        ):
             continue
         if size is None or len(members.voters()) < size:
             wanted = members.with_member(learner._replace(voter=True))
--- a/testing/coordination/test_replica_succession.py
+++ b/testing/coordination/test_replica_succession.py
@@ -59,6 +59,29 @@
         self.cell.advance(6.0)
         self.assertThat(self.voters(), Equals(set(NAMES)))
 
+    def test_replicas_beside_the_voters_follow_as_learners(self) -> None:
+        """Guards against replicas that answer no call since they know of no leader."""
+        for number in range(SIZE + 1):
+            self.cell.add_node(f"spare-{number}")
+            self.cell.advance(2.0)
+        self.accept("second", 1)
+        replica = self.leader().replica
+        assert replica is not None
+        self.assertThat(self.voters(), Equals(set(NAMES)))
+        self.assertThat(replica.members.members, HasLength(2 * SIZE))
+        followers = [n for n in self.cell.nodes.values() if revision_of(n) == 2]
+        self.assertThat(followers, HasLength(2 * SIZE))
+
+    def test_a_silent_learner_takes_no_place(self) -> None:
+        """Guards against a voter that gives way to a replica that is lost as well."""
+        spare = self.cell.add_node("spare")
+        self.cell.advance(6.0)
+        silent = next(n for n in self.cell.nodes.values() if n is not self.leader())
+        self.cell.crash(spare)
+        self.cell.crash(silent)
+        self.cell.advance(6.0)
+        self.assertThat(self.voters(), Equals(set(NAMES)))
+
     def test_two_losses_one_after_the_other_lose_no_change(self) -> None:
         for number, name in enumerate(["d", "e"], start=1):
             self.lose(self.leader())
--- /dev/null
+++ b/testing/support/disk_cell.py
@@ -0,0 +1,202 @@
+"""Replicas with real files and sockets on one loop, and operators that resend."""
+
+from __future__ import annotations
+
+import itertools
+import os
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from chervilstage.coordination.replica_terms import knows_majority, lease_holds
+from chervilstage.errors import ChervilstageError
+from chervilstage.state.configuration import Change, DataCentre, Inventory
+from chervilstage.state.counters import Counters
+from chervilstage.state.replica import Replica
+from chervilstage.state.types import Address, Peer
+from chervilstage.transport.change_calls import ChangeCalls
+from chervilstage.transport.clock import replica_clock
+from chervilstage.transport.frame_channel import FrameClient, FrameServer
+from chervilstage.transport.log_store import LogStore
+from chervilstage.transport.replica_driver import ReplicaDriver
+from chervilstage.transport.replica_formation import ReplicaFormation
+from chervilstage.transport.replica_links import ReplicaLinks
+
+from .full_disks import FullDisk
+
+KEY = b"k" * 32
+PORT = 7720
+CELLS = itertools.count()
+# An operator moves on to another replica after a second without an answer.
+CALL_SECONDS = 1.0
+PAUSE_SECONDS = 0.05
+POLL_SECONDS = 0.02
+LONGEST_PAUSE_SECONDS = 0.5
+
+
+class DiskNode(NamedTuple):
+    """One replica process."""
+
+    disk: FullDisk
+    client: FrameClient
+    frames: FrameServer
+    driver: ReplicaDriver
+    formation: ReplicaFormation
+    changes: ChangeCalls
+
+    @property
+    def replica(self) -> Replica:
+        """Return the replica."""
+        return self.driver.replica
+
+    @property
+    def revision(self) -> int:
+        """Return the revision that this replica has applied."""
+        return self.replica.applied.configuration.revision
+
+    def leads(self) -> bool:
+        """Tell whether this replica answers as the leader."""
+        return lease_holds(self.replica, replica_clock())
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Return loopback addresses that no other process and no connection uses."""
+    cell = next(CELLS)
+    hosts = [f"127.{os.getpid() % 250 + 1}.{cell}.{n + 1}" for n in range(count)]
+    return [Address(host=host, port=PORT) for host in hosts]
+
+
+class DiskCell:
+    """Some replicas of which ``size`` vote.
+
+    ``told`` holds the seconds that each acknowledged change took.
+    """
+
+    def __init__(self, *, folder: Path, count: int, size: int, seed: int) -> None:
+        self.size = size
+        self.rng = Random(seed)
+        self.disks = [FullDisk(folder=folder / f"r{n}" / "data") for n in range(count)]
+        self.peers = [
+            Peer(name=f"r{number}", data_centre="", address=address)
+            for number, address in enumerate(free_addresses(count))
+        ]
+        self.nodes: list[DiskNode] = []
+        self.told: dict[str, float] = {}
+        self.refused: list[str] = []
+
+    async def start(self, group: TaskGroup) -> None:
+        """Start all replicas and wait until the set has its size."""
+        self.nodes = [self.make_node(n) for n in range(len(self.peers))]
+        for node in self.nodes:
+            await node.frames.start(group)
+        for node in self.nodes:
+            await node.driver.start(group)
+            await node.formation.start(group)
+        await self.until(lambda: self.leader() is not None, "a leader")
+
+    def make_node(self, number: int) -> DiskNode:
+        """Return a replica on its disk."""
+        own, disk = self.peers[number], self.disks[number]
+        counters = Counters()
+        client = FrameClient(name=own.name, key=KEY, counters=counters)
+        frames = FrameServer(
+            name=own.name, address=own.address, key=KEY, counters=counters
+        )
+        store = LogStore(
+            folder=disk.folder,
+            identity=self.rng.getrandbits(62) | 1,
+            sync_file=disk.sync,
+        )
+        driver = ReplicaDriver(
+            address=own.address,
+            store=store,
+            links=ReplicaLinks(frames=client),
+            frames=frames,
+            size=self.size,
+        )
+        formation = ReplicaFormation(
+            own=own,
+            listed=lambda: self.peers[: self.size],
+            may_form=True,
+            driver=driver,
+            client=client,
+            frames=frames,
+        )
+        changes = ChangeCalls(driver=driver, client=client, frames=frames)
+        return DiskNode(
+            disk=disk,
+            client=client,
+            frames=frames,
+            driver=driver,
+            formation=formation,
+            changes=changes,
+        )
+
+    def leader(self) -> DiskNode | None:
+        """Return the leader."""
+        return next((node for node in self.nodes if node.leads()), None)
+
+    async def until(
+        self, holds: Callable[[], bool], what: str, seconds: float = 6.0
+    ) -> None:
+        """Wait until something holds.
+
+        :raises AssertionError: it does not in time.
+        """
+        end = anyio.current_time() + seconds
+        while not holds():
+            assert anyio.current_time() < end, f"no {what} within {seconds} s"
+            await anyio.sleep(POLL_SECONDS)
+
+    async def order(self, change: Change, seconds: float) -> None:
+        """Have a change acknowledged by any replica, as operators do."""
+        started = anyio.current_time()
+        pause = PAUSE_SECONDS
+        with anyio.move_on_after(seconds):
+            while not await self.has_acknowledged(self.rng.choice(self.nodes), change):
+                await anyio.sleep(pause)
+                pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+            self.told[change.operation_id] = anyio.current_time() - started
+            return
+        self.refused.append(change.operation_id)
+
+    async def has_acknowledged(self, node: DiskNode, change: Change) -> bool:
+        """Call a replica and tell whether it has acknowledged a change in time."""
+        with anyio.move_on_after(CALL_SECONDS):
+            try:
+                outcome = await node.changes.submit(change)
+            except ChervilstageError as error:
+                assert error.retryable, error
+                return False
+            assert not outcome.code, outcome
+            return True
+        return False
+
+    def problems(self) -> list[str]:
+        """Return what keeps replicas from taking part, with their names."""
+        newest = max(node.revision for node in self.nodes)
+        problems = []
+        for node in self.nodes:
+            replica, name = node.replica, node.formation.own.name
+            if node.revision < newest:
+                problems.append(f"{name} holds {node.revision} of {newest}")
+            if not knows_majority(replica, replica_clock()):
+                problems.append(f"{name} hears no leader")
+            if node.driver.pending:
+                problems.append(f"{name} has {len(node.driver.pending)} effects left")
+        return problems
+
+
+def change_without_base(operation: str) -> Change:
+    """Return a change that is valid at any revision."""
+    inventory = Inventory(data_centres=(DataCentre(name=operation),))
+    return Change(
+        operation_id=operation,
+        operator="maria",
+        base_revision=None,
+        inventory=inventory,
+    )
