Count entries as durable however many messages wait behind them

Callers: a change could stay unanswered for 5 s, until its resend proposed it anew. Cause: a replica learned that its log is durable only if nothing was left to do right after the batch that saved; the next batch without a save did not make up for it. Evidence: test_effects_behind_a_save_do_not_hide_it failed before, with 100 messages behind one entry. Change: a save stays to be reported until nothing is left to do.

--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -85,6 +85,7 @@
         self.leader_heard = anyio.Event()
         self.waiting: dict[str, anyio.Event] = {}
         self.shown = (self.replica.role, self.replica.term)
+        self.has_unreported_saves = False
         for kind in (Kind.VOTE, Kind.APPEND, Kind.SNAPSHOT):
             frames.serve(kind, self.receive)
 
@@ -103,12 +104,10 @@
         :raises LogWriteError: the disk has failed; nothing is acknowledged any more.
         """
         batch = self.pending[:BATCH_EFFECTS]
-        saved = self.save(batch)
+        self.has_unreported_saves |= self.save(batch)
         del self.pending[:BATCH_EFFECTS]
-        if saved and not self.pending:
-            last = self.replica.log.last_index
-            now = replica_clock()
-            self.pending += persisted(self.replica, last, now, self.rng)
+        if self.has_unreported_saves and not self.pending:
+            self.report_saves()
         for effect in batch:
             if isinstance(effect, Send):
                 self.send(effect)
@@ -137,6 +136,12 @@
             raise kind(folder=self.store.folder, reason=error) from error
         return saved
 
+    def report_saves(self) -> None:
+        """Tell the replica that its whole log is durable."""
+        self.has_unreported_saves = False
+        last = self.replica.log.last_index
+        self.pending += persisted(self.replica, last, replica_clock(), self.rng)
+
     async def wait_for_space(self, error: LogFullError) -> None:
         """Wait until the log can be written again; nothing is sent meanwhile.
 
--- a/testing/transport/test_full_disks.py
+++ b/testing/transport/test_full_disks.py
@@ -9,7 +9,9 @@
 import pytest
 
 from chervilstage.coordination import replica_apply
-from testing.support.disk_cell import DiskCell, change_without_base
+from chervilstage.coordination.replica_effects import Send
+from chervilstage.state.replica_messages import HandOver
+from testing.support.disk_cell import DiskCell, DiskNode, change_without_base
 from testing.support.full_disks import refusing
 
 # An operator moves on to another replica after a second without an answer.
@@ -38,6 +40,34 @@
         anyio.run(main)
 
 
+def leader_of(cell: DiskCell) -> DiskNode:
+    """Return the leader."""
+    leader = cell.leader()
+    assert leader is not None
+    return leader
+
+
+def test_effects_behind_a_save_do_not_hide_it(tmp_path: Path) -> None:
+    """Guards against a durable entry that its own leader does not count."""
+    cell = DiskCell(folder=tmp_path, count=1, size=1, seed=1)
+
+    async def scenario(cell: DiskCell) -> None:
+        driver = leader_of(cell).driver
+
+        async def add_messages() -> None:
+            body = HandOver(term=0)
+            unused = Send(address=driver.address, to=0, body=body)
+            driver.take([unused] * 100)
+
+        async with anyio.create_task_group() as group:
+            with anyio.fail_after(PATIENCE_SECONDS):
+                group.start_soon(add_messages)
+                outcome = await driver.submit(change_without_base("first"))
+        assert not outcome.code
+
+    run(cell, scenario)
+
+
 def test_a_replica_outside_the_voters_hands_calls_to_the_leader(
     tmp_path: Path,
 ) -> None:
