Save the newest state anew after a full disk

Callers: after disks that were full in turn, changes were refused or unanswered for good while all processes ran. Cause: a replica noted what is durable only after it had removed old files. If a removal was refused, it went back to files that were gone, and took the missing file for a disk that is still full, as it took every OSError: it waited without end. Also, what it had to do grew without bound meanwhile, and a number of a log file could be used twice, over a file that the meta file on the disk might name. Change: nothing is rewound. While the disk is full, a replica drops messages, votes for nobody and hears the leader; then it saves its whole newest state in new files. Errors other than lack of room end the process. A file that cannot be removed is left and logged.

--- a/src/chervilstage/transport/log_store.py
+++ b/src/chervilstage/transport/log_store.py
@@ -8,15 +8,22 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
+import logging
 import os
 import time
-from collections.abc import Callable, Sequence
-from contextlib import suppress
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import BinaryIO
 
-from ..errors.configuration import FolderInUseError, LogDamagedError
+from ..errors.configuration import (
+    FolderInUseError,
+    LogDamagedError,
+    LogFullError,
+    LogWriteError,
+)
 from ..protocol.log_files import (
     Meta,
     encode_log_entry,
@@ -27,9 +34,11 @@
     read_snapshot_file,
 )
 from ..state.replica import LogEntry, Snapshot, Stored, Vote
+from .event_log import log_event
 
 META = "meta"
 META_NEW = "meta.new"
+FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 SyncObserver = Callable[[float], None]
 
@@ -53,7 +62,8 @@
     ) -> None:
         self.meta: Meta
         self.file: BinaryIO
-        self.durable: tuple[Meta, Snapshot, tuple[int, ...]]
+        self.named: frozenset[str] = frozenset()
+        self.last_number = 0
         self.folder = folder
         self.observe = observe
         self.sync_file = sync_file
@@ -83,7 +93,7 @@
     def save_snapshot(self, snapshot: Snapshot, entries: Sequence[LogEntry]) -> None:
         """Replace the snapshot and the log; durable after ``sync``."""
         started = time.perf_counter()
-        number = max(self.meta.snapshot_number, self.meta.log_number) + 1
+        number = self._next_number()
         path = self._snapshot_path(number)
         with path.open("wb") as file:
             file.write(encode_snapshot_file(snapshot))
@@ -107,27 +117,25 @@
         self._replace_meta()
         if replaced:
             self._remove_others()
-        self.durable = (self.meta, self.snapshot, tuple(self.ends))
         self.observe(time.perf_counter() - started)
 
-    def rewind(self) -> None:
-        """Go back to what is durable, after a disk that was full took only a part.
+    def save_anew(
+        self, vote: Vote, snapshot: Snapshot, entries: Sequence[LogEntry]
+    ) -> None:
+        """Save and sync all that a replica holds, after a disk took only a part.
 
-        The log goes on in a new file, so that the one that the meta file names stays
-        as it is until the next sync.
+        New files are written, so that those that the meta file names stay as they are
+        until the new ones are complete.
 
-        :raises OSError: the disk is still full.
+        :raises OSError: the disk still refuses it.
         """
+        # What the file still buffers is part of what is saved anew.
         with suppress(OSError):
             self.file.close()
-        numbers = self.meta.log_number, self.meta.snapshot_number
-        self.meta, self.snapshot, ends = self.durable
-        data = self._log_path(self.meta.log_number).read_bytes()
-        self.file = self._open_log(max(numbers) + 1, "wb")
-        self.file.write(data[: ends[-1]] if ends else b"")
-        self.file.flush()
-        self.ends = list(ends)
-        self.meta = self.meta._replace(log_number=max(numbers) + 1)
+        self._remove_others()
+        self.save_vote(vote)
+        self.save_snapshot(snapshot, entries)
+        self.sync()
 
     def close(self) -> None:
         """Close the log file and unlock the folder."""
@@ -162,7 +170,8 @@
             snapshot_number=0,
             synced_bytes=0,
         )
-        self.file = self._open_log(1, "wb")
+        self.last_number = self.meta.log_number
+        self.file = self._open_log(self.meta.log_number, "wb")
         self.sync()
         sync_folder(self.folder.parent, self.sync_file)
         return Stored(
@@ -183,9 +192,9 @@
         end = self.ends[-1] if self.ends else 0
         self.file.truncate(end)
         self.file.seek(0, os.SEEK_END)
-        if len(data) == end == self.meta.synced_bytes:
-            self.durable = (self.meta, self.snapshot, tuple(self.ends))
-        else:
+        self.named = self._names_in(self.meta)
+        self.last_number = max(self.meta.log_number, self.meta.snapshot_number)
+        if not len(data) == end == self.meta.synced_bytes:
             self.sync()
         self._remove_others()
         return Stored(
@@ -220,7 +229,7 @@
 
     def _rewrite(self, data: bytes, ends: list[int]) -> None:
         self.file.close()
-        number = max(self.meta.log_number, self.meta.snapshot_number) + 1
+        number = self._next_number()
         self.file = self._open_log(number, "wb")
         self.file.write(data)
         self.ends = list(ends)
@@ -235,20 +244,39 @@
         if self.has_new_files:
             sync_folder(self.folder, self.sync_file)
             self.has_new_files = False
+        # Until the folder is synced, a loss of power may leave either meta file.
+        self.named |= self._names_in(self.meta)
         new.replace(self.folder / META)
         sync_folder(self.folder, self.sync_file)
+        self.named = self._names_in(self.meta)
 
     def _remove_others(self) -> None:
-        used = {
-            META,
-            self._log_path(self.meta.log_number).name,
-            self._snapshot_path(self.meta.snapshot_number).name,
-        }
+        """Remove the files that no meta file names; what stays is removed later."""
         for pattern in ("log-*", "snapshot-*"):
             for path in self.folder.glob(pattern):
-                if path.name not in used:
-                    with suppress(FileNotFoundError):
-                        path.unlink()
+                if path.name not in self.named:
+                    self._remove(path)
+
+    def _remove(self, path: Path) -> None:
+        try:
+            path.unlink(missing_ok=True)
+        except OSError as error:
+            log_event(
+                "log_file_left", level=logging.WARNING, file=path.name, reason=error
+            )
+
+    def _names_in(self, meta: Meta) -> frozenset[str]:
+        return frozenset(
+            {
+                self._log_path(meta.log_number).name,
+                self._snapshot_path(meta.snapshot_number).name,
+            }
+        )
+
+    def _next_number(self) -> int:
+        """Return a number that no file has had, so that none is written over."""
+        self.last_number += 1
+        return self.last_number
 
     def _open_log(self, number: int, mode: str) -> BinaryIO:
         self.has_new_files |= mode == "wb"
@@ -269,3 +297,17 @@
         sync_file(descriptor)
     finally:
         os.close(descriptor)
+
+
+@contextmanager
+def disk_errors(folder: Path) -> Iterator[None]:
+    """Turn an error of the disk into a typed one.
+
+    :raises LogFullError: the disk is full.
+    :raises LogWriteError: the disk has failed in another way.
+    """
+    try:
+        yield
+    except OSError as error:
+        kind = LogFullError if error.errno in FULL_ERRORS else LogWriteError
+        raise kind(folder=folder, reason=error) from error
--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 import time
 from collections.abc import Sequence
+from contextlib import suppress
 from random import Random
 
 import anyio
@@ -22,33 +22,35 @@
     submit,
 )
 from ..coordination.replica_effects import (
+    Persist,
     ReplicaEffect,
     Reply,
     SaveEntries,
-    SaveSnapshot,
     SaveVote,
     Send,
 )
 from ..coordination.replica_members import settle_members
-from ..errors.configuration import ChangeUnsettledError, LogFullError, LogWriteError
+from ..errors.configuration import (
+    ChangeUnsettledError,
+    LogFullError,
+)
 from ..protocol.consensus_messages import decode_replica_message
 from ..protocol.kinds import Kind
 from ..state.configuration import Change, ChangeOutcome
 from ..state.replica import Role
-from ..state.replica_messages import ReplicaMessage
+from ..state.replica_messages import Append, InstallSnapshot, ReplicaMessage
 from ..state.types import Address
 from .application import Hooks
 from .clock import replica_clock
 from .event_log import log_event
 from .frame_channel import FrameServer
-from .log_store import LogStore
+from .log_store import LogStore, disk_errors
 from .replica_links import ReplicaLinks
 
 CHANGE_SECONDS = 5.0
 HAND_OVER_SECONDS = 1.0
 BATCH_EFFECTS = 64
 FULL_RETRY_SECONDS = 0.2
-FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
 class ReplicaDriver:
@@ -85,6 +87,7 @@
         self.leader_heard = anyio.Event()
         self.waiting: dict[str, anyio.Event] = {}
         self.shown = (self.replica.role, self.replica.term)
+        self.is_full = False
         self.has_unreported_saves = False
         for kind in (Kind.VOTE, Kind.APPEND, Kind.SNAPSHOT):
             frames.serve(kind, self.receive)
@@ -104,7 +107,11 @@
         :raises LogWriteError: the disk has failed; nothing is acknowledged any more.
         """
         batch = self.pending[:BATCH_EFFECTS]
-        self.has_unreported_saves |= self.save(batch)
+        saved = [effect for effect in batch if isinstance(effect, Persist)]
+        if saved:
+            with disk_errors(self.store.folder):
+                self.save(saved)
+            self.has_unreported_saves = True
         del self.pending[:BATCH_EFFECTS]
         if self.has_unreported_saves and not self.pending:
             self.report_saves()
@@ -115,26 +122,16 @@
                 self.reply(effect.outcome)
         self.show()
 
-    def save(self, batch: Sequence[ReplicaEffect]) -> bool:
-        """Write and sync the durable effects of a batch, and tell if there were any."""
-        saved = False
-        try:
-            for effect in batch:
-                if isinstance(effect, SaveVote):
-                    self.store.save_vote(effect.vote)
-                elif isinstance(effect, SaveEntries):
-                    self.store.save_entries(effect.after, effect.entries)
-                elif isinstance(effect, SaveSnapshot):
-                    self.store.save_snapshot(effect.snapshot, effect.entries)
-                else:
-                    continue
-                saved = True
-            if saved:
-                self.store.sync()
-        except OSError as error:
-            kind = LogFullError if error.errno in FULL_ERRORS else LogWriteError
-            raise kind(folder=self.store.folder, reason=error) from error
-        return saved
+    def save(self, effects: Sequence[Persist]) -> None:
+        """Write and sync effects."""
+        for effect in effects:
+            if isinstance(effect, SaveVote):
+                self.store.save_vote(effect.vote)
+            elif isinstance(effect, SaveEntries):
+                self.store.save_entries(effect.after, effect.entries)
+            else:
+                self.store.save_snapshot(effect.snapshot, effect.entries)
+        self.store.sync()
 
     def report_saves(self) -> None:
         """Tell the replica that its whole log is durable."""
@@ -143,20 +140,49 @@
         self.pending += persisted(self.replica, last, replica_clock(), self.rng)
 
     async def wait_for_space(self, error: LogFullError) -> None:
-        """Wait until the log can be written again; nothing is sent meanwhile.
+        """Wait until the disk takes the state of this replica again.
+
+        Meanwhile this replica votes for nobody and sends nothing, but it hears the
+        leader, so that it can hand calls over. What it holds is saved anew
+        and in whole, since the disk may have taken a part of what failed.
 
-        The other replicas hear nothing of this one and go on without it.
+        :raises LogWriteError: the disk has failed in another way.
         """
         log_event("log_full", level=logging.ERROR, code=error.code, reason=error)
-        while True:
+        started = replica_clock()
+        self.is_full = True
+        while self.is_full:
+            self.drop_unsaved()
             await anyio.sleep(FULL_RETRY_SECONDS)
-            try:
-                self.store.rewind()
-                self.flush()
-            except (OSError, LogFullError):
-                continue
-            log_event("log_writable")
-            return
+            with suppress(LogFullError):
+                self.save_anew()
+                self.is_full = False
+        log_event("log_writable", seconds=round(replica_clock() - started, 3))
+
+    def drop_unsaved(self) -> None:
+        """Reply to who waits and drop all other effects.
+
+        An outcome is that of a committed entry, which a majority of disks holds. What
+        is not sent counts as lost, and ``save_anew`` saves the newest state.
+        """
+        dropped, self.pending = self.pending, []
+        for effect in dropped:
+            if isinstance(effect, Reply):
+                self.reply(effect.outcome)
+        self.show()
+
+    def save_anew(self) -> None:
+        """Make the newest state of the replica durable.
+
+        :raises LogFullError: the disk is still full.
+        :raises LogWriteError: the disk has failed in another way.
+        """
+        replica = self.replica
+        entries = replica.log.after(replica.snapshot.position)
+        with disk_errors(self.store.folder):
+            self.store.save_anew(replica.vote, replica.snapshot, entries)
+        self.drop_unsaved()
+        self.report_saves()
 
     def send(self, effect: Send) -> None:
         """Send a message."""
@@ -190,6 +216,8 @@
     async def receive(self, sender: str, body: bytes) -> bytes:
         """Take a message of another replica."""
         message = decode_replica_message(body)
+        if self.is_full and not isinstance(message.body, (Append, InstallSnapshot)):
+            return b""
         self.take(receive(self.replica, message, replica_clock(), self.rng))
         return b""
 
--- a/testing/transport/test_full_disks.py
+++ b/testing/transport/test_full_disks.py
@@ -4,18 +4,26 @@
 
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from random import Random
 
 import anyio
 import pytest
 
 from chervilstage.coordination import replica_apply
 from chervilstage.coordination.replica_effects import Send
+from chervilstage.errors.configuration import LogWriteError
 from chervilstage.state.replica_messages import HandOver
 from testing.support.disk_cell import DiskCell, DiskNode, change_without_base
-from testing.support.full_disks import refusing
+from testing.support.full_disks import REMOVE, refusing
 
+# The operator's wait for an acknowledgement on the users' pages is 5 s at least.
+ACKNOWLEDGED_SECONDS = 4.5
 # An operator moves on to another replica after a second without an answer.
 PATIENCE_SECONDS = 1.0
+FULL_SECONDS = (0.3, 1.8)
+CHANGE_PAUSE_SECONDS = 0.1
+NUMBER_OF_IO_ERROR = 5
+SEEDS = (3, 4)
 
 Scenario = Callable[[DiskCell], Awaitable[None]]
 
@@ -47,6 +55,76 @@
     return leader
 
 
+async def send_changes(cell: DiskCell, done: anyio.Event) -> None:
+    """Send changes to any replicas until told to stop, and wait for their outcomes."""
+    number = 0
+    async with anyio.create_task_group() as orders:
+        while not done.is_set():
+            change = change_without_base(f"change-{number}")
+            orders.start_soon(cell.order, change, ACKNOWLEDGED_SECONDS)
+            await anyio.sleep(CHANGE_PAUSE_SECONDS)
+            number += 1
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_every_replica_takes_part_again_after_full_disks_in_turn(
+    tmp_path: Path, seed: int
+) -> None:
+    """Guards against a full disk that keeps its replica out for good."""
+    cell = DiskCell(folder=tmp_path, count=4, size=3, seed=seed)
+    run(cell, lambda cell: play_full_disks_in_turn(cell, Random(seed)))
+
+
+async def play_full_disks_in_turn(cell: DiskCell, rng: Random) -> None:
+    """Fill each disk in turn, the leader's first, while changes arrive."""
+    done = anyio.Event()
+    others = [node for node in cell.nodes if not node.leads()]
+    async with anyio.create_task_group() as group:
+        group.start_soon(send_changes, cell, done)
+        for node in [leader_of(cell), *rng.sample(others, len(others))]:
+            node.disk.fill_at_random(rng)
+            await anyio.sleep(rng.uniform(*FULL_SECONDS))
+            node.disk.free()
+        done.set()
+    await cell.until(lambda: not cell.problems(), "replica in touch")
+    assert not cell.refused
+    known = leader_of(cell).replica.applied.outcomes
+    assert not [operation for operation in cell.told if operation not in known]
+
+
+def test_a_file_that_cannot_be_removed_keeps_no_replica_out(tmp_path: Path) -> None:
+    """Guards against a saved state that a failed clean-up makes look unsaved."""
+    cell = DiskCell(folder=tmp_path, count=1, size=1, seed=1)
+
+    async def scenario(cell: DiskCell) -> None:
+        node = leader_of(cell)
+        node.disk.fill({REMOVE}, spared=1)
+        for number in range(20):
+            change = change_without_base(f"change-{number}")
+            await cell.order(change, PATIENCE_SECONDS)
+        node.disk.free()
+        await cell.order(change_without_base("after"), ACKNOWLEDGED_SECONDS)
+        assert not cell.refused
+
+    run(cell, scenario)
+
+
+def test_a_disk_that_fails_while_it_is_full_ends_the_process(tmp_path: Path) -> None:
+    """Guards against an error of another kind that is waited out without end."""
+    cell = DiskCell(folder=tmp_path, count=3, size=3, seed=1)
+
+    async def scenario(cell: DiskCell) -> None:
+        leader = leader_of(cell)
+        leader.disk.fill()
+        await cell.order(change_without_base("first"), ACKNOWLEDGED_SECONDS)
+        leader.disk.fill(number=NUMBER_OF_IO_ERROR)
+        await anyio.sleep(2 * PATIENCE_SECONDS)
+
+    with pytest.raises(BaseExceptionGroup) as caught:
+        run(cell, scenario)
+    assert caught.group_contains(LogWriteError)
+
+
 def test_effects_behind_a_save_do_not_hide_it(tmp_path: Path) -> None:
     """Guards against a durable entry that its own leader does not count."""
     cell = DiskCell(folder=tmp_path, count=1, size=1, seed=1)
