Start a replica on a disk that is full

Callers: a control process that was killed while its disk was full ended again with each start (exit code 70) until there was room. Cause: a start wrote: it cut and synced the tail of the log, or made the first files. Evidence: test_a_replica_starts_on_a_blank_disk_that_is_full failed before with a plain OSError. Change: a start only reads. What follows the synced bytes has not been acknowledged, is ignored and written over. On a blank disk the first files are made once there is room.

--- a/src/chervilstage/transport/log_store.py
+++ b/src/chervilstage/transport/log_store.py
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager, suppress
+from io import BytesIO
 from pathlib import Path
 from typing import BinaryIO
 
@@ -46,10 +47,15 @@
 class LogStore:
     """Holds the log, the snapshot, the vote and the identity of a replica.
 
+    ``is_saved`` is false while a full disk has not taken the files of a blank folder.
+
     :param folder: the data folder.
     :param identity: the identity to take if the folder is blank.
     :param observe: called with the seconds of each stall of the loop, by a sync or by
         a snapshot.
+    :raises LogDamagedError: the files are damaged.
+    :raises FolderInUseError: another process uses the folder.
+    :raises LogWriteError: the disk has failed.
     """
 
     def __init__(
@@ -61,7 +67,7 @@
         sync_file: Callable[[int], None] = os.fsync,
     ) -> None:
         self.meta: Meta
-        self.file: BinaryIO
+        self.file: BinaryIO = BytesIO()
         self.named: frozenset[str] = frozenset()
         self.last_number = 0
         self.folder = folder
@@ -70,13 +76,16 @@
         self.snapshot = Snapshot()
         self.ends: list[int] = []
         self.has_new_files = False
-        folder.mkdir(parents=True, exist_ok=True)
-        self.lock = self._lock_folder()
-        try:
-            self.stored = self._load() if self._is_used() else self._create(identity)
-        except BaseException:
-            os.close(self.lock)
-            raise
+        self.is_saved = True
+        with disk_errors(folder):
+            folder.mkdir(parents=True, exist_ok=True)
+            self.lock = self._lock_folder()
+            try:
+                used = self._is_used()
+                self.stored = self._load() if used else self._create(identity)
+            except BaseException:
+                os.close(self.lock)
+                raise
 
     def save_vote(self, vote: Vote) -> None:
         """Note a vote; it is durable after ``sync``."""
@@ -132,6 +141,9 @@
         # What the file still buffers is part of what is saved anew.
         with suppress(OSError):
             self.file.close()
+        if not self.is_saved:
+            # A folder without a meta file is blank only as long as all else is.
+            self._create_files()
         self._remove_others()
         self.save_vote(vote)
         self.save_snapshot(snapshot, entries)
@@ -171,31 +183,37 @@
             synced_bytes=0,
         )
         self.last_number = self.meta.log_number
-        self.file = self._open_log(self.meta.log_number, "wb")
-        self.sync()
-        sync_folder(self.folder.parent, self.sync_file)
+        try:
+            self._create_files()
+        except OSError as error:
+            if error.errno not in FULL_ERRORS:
+                raise
+            self.is_saved = False
         return Stored(
             identity=identity, vote=Vote(), snapshot=self.snapshot, entries=()
         )
 
+    def _create_files(self) -> None:
+        self.file = self._open_log(self.meta.log_number, "wb")
+        self.sync()
+        sync_folder(self.folder.parent, self.sync_file)
+        self.is_saved = True
+
     def _load(self) -> Stored:
         self.meta = read_meta(self._read(META), str(self.folder / META))
         if self.meta.snapshot_number:
             path = self._snapshot_path(self.meta.snapshot_number)
             self.snapshot = read_snapshot_file(self._read(path.name), str(path))
         path = self._log_path(self.meta.log_number)
-        data = self._read(path.name)
-        records = read_records(data, self.meta.synced_bytes, str(path))
+        synced = self.meta.synced_bytes
+        # Nothing after the synced bytes has been acknowledged; it is written over.
+        records = read_records(self._read(path.name)[:synced], synced, str(path))
         self._check_start(records.entries, path)
         self.ends = list(records.ends)
         self.file = self._open_log(self.meta.log_number, "r+b")
-        end = self.ends[-1] if self.ends else 0
-        self.file.truncate(end)
-        self.file.seek(0, os.SEEK_END)
+        self.file.seek(synced)
         self.named = self._names_in(self.meta)
         self.last_number = max(self.meta.log_number, self.meta.snapshot_number)
-        if not len(data) == end == self.meta.synced_bytes:
-            self.sync()
         self._remove_others()
         return Stored(
             identity=self.meta.identity,
--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -87,7 +87,7 @@
         self.leader_heard = anyio.Event()
         self.waiting: dict[str, anyio.Event] = {}
         self.shown = (self.replica.role, self.replica.term)
-        self.is_full = False
+        self.is_full = not store.is_saved
         self.has_unreported_saves = False
         for kind in (Kind.VOTE, Kind.APPEND, Kind.SNAPSHOT):
             frames.serve(kind, self.receive)
@@ -248,6 +248,10 @@
 
     async def run(self) -> None:
         """Do what is due until cancelled."""
+        if not self.store.is_saved:
+            reason = "the disk has no room for a new log"
+            error = LogFullError(folder=self.store.folder, reason=reason)
+            await self.wait_for_space(error)
         while True:
             now = replica_clock()
             self.pending += tick(self.replica, now, self.rng)
--- a/testing/transport/test_full_disks.py
+++ b/testing/transport/test_full_disks.py
@@ -109,6 +109,21 @@
     run(cell, scenario)
 
 
+def test_a_replica_starts_on_a_blank_disk_that_is_full(tmp_path: Path) -> None:
+    """Guards against a process that ends again and again while its disk is full."""
+    cell = DiskCell(folder=tmp_path, count=4, size=3, seed=1)
+    cell.disks[3].folder.mkdir(parents=True)
+    cell.disks[3].fill()
+
+    async def scenario(cell: DiskCell) -> None:
+        await cell.order(change_without_base("first"), ACKNOWLEDGED_SECONDS)
+        cell.disks[3].free()
+        await cell.until(lambda: not cell.problems(), "replica in touch")
+        assert not cell.refused
+
+    run(cell, scenario)
+
+
 def test_a_disk_that_fails_while_it_is_full_ends_the_process(tmp_path: Path) -> None:
     """Guards against an error of another kind that is waited out without end."""
     cell = DiskCell(folder=tmp_path, count=3, size=3, seed=1)
