Give the lead away at once when the disk of the leader is full

Callers: a change at a leader whose disk became full hung until its caller gave up, and so did each resend to that replica for 5 s; no change was accepted for an election time. Cause: the leader fell silent with its lead, and whoever asked again joined the wait. Evidence: test_a_change_at_a_leader_with_a_full_disk_is_answered_in_time failed before; now the change is accepted within the second that an operator waits. Change: the leader hands over to another voter; that message promises nothing that has to be durable.

--- a/src/chervilstage/errors/configuration.py
+++ b/src/chervilstage/errors/configuration.py
@@ -162,3 +162,14 @@
 
     code = "CS-CONFIG-019"
     retryable = True
+
+
+class LeadLostError(ChervilstageError):
+    """The replica that took a change leads no more; another one decides it."""
+
+    code = "CS-CONFIG-021"
+    template = (
+        "this replica lost the lead before change {operation_id} was confirmed; it may "
+        "still be accepted; send it again under the same operation id"
+    )
+    retryable = True
--- a/src/chervilstage/transport/change_calls.py
+++ b/src/chervilstage/transport/change_calls.py
@@ -13,6 +13,7 @@
 from ..errors.access import PeerUnreachableError
 from ..errors.configuration import (
     LeaderUnknownError,
+    LeadLostError,
     NoQuorumError,
     NotLeaderError,
     OperatorCallError,
@@ -34,8 +35,9 @@
 # A caller moves on to another replica after a second without an answer.
 PATIENCE_SECONDS = 0.8
 REPEAT_SECONDS = 0.05
-# Nothing has been proposed when a call fails with one of these.
-LEADERLESS = frozenset({NoQuorumError.code, NotLeaderError.code})
+# A leader may be found soon. A change that its first leader has proposed is the same
+# one under its operation id when another leader gets it.
+LEADERLESS = frozenset({NoQuorumError.code, NotLeaderError.code, LeadLostError.code})
 STATUS_OK = 200
 STATUS_REFUSED = 422
 STATUS_UNAVAILABLE = 503
--- a/src/chervilstage/transport/operator_client.py
+++ b/src/chervilstage/transport/operator_client.py
@@ -12,6 +12,7 @@
 from ..errors.access import OperatorKeyError, PeerUnreachableError
 from ..errors.configuration import (
     ChangeUnsettledError,
+    LeadLostError,
     NoQuorumError,
     NotLeaderError,
     OperatorCallError,
@@ -27,7 +28,13 @@
 
 CALL_SECONDS = 15.0
 RETRYABLE_CODES = frozenset(
-    error.code for error in (NotLeaderError, ChangeUnsettledError, ReplicaBusyError)
+    error.code
+    for error in (
+        NotLeaderError,
+        ChangeUnsettledError,
+        LeadLostError,
+        ReplicaBusyError,
+    )
 )
 
 
--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -30,8 +30,10 @@
     Send,
 )
 from ..coordination.replica_members import settle_members
+from ..coordination.replica_terms import check_lease
 from ..errors.configuration import (
     ChangeUnsettledError,
+    LeadLostError,
     LogFullError,
 )
 from ..protocol.consensus_messages import decode_replica_message
@@ -142,8 +144,8 @@
     async def wait_for_space(self, error: LogFullError) -> None:
         """Wait until the disk takes the state of this replica again.
 
-        Meanwhile this replica votes for nobody and sends nothing, but it hears the
-        leader, so that it can hand calls over. What it holds is saved anew
+        Meanwhile this replica does not lead, votes for nobody and sends nothing, but it
+        hears the leader, so that it can hand calls over. What it holds is saved anew
         and in whole, since the disk may have taken a part of what failed.
 
         :raises LogWriteError: the disk has failed in another way.
@@ -152,6 +154,7 @@
         started = replica_clock()
         self.is_full = True
         while self.is_full:
+            self.give_lead_away()
             self.drop_unsaved()
             await anyio.sleep(FULL_RETRY_SECONDS)
             with suppress(LogFullError):
@@ -159,6 +162,17 @@
                 self.is_full = False
         log_event("log_writable", seconds=round(replica_clock() - started, 3))
 
+    def give_lead_away(self) -> None:
+        """Have another voter take the lead at once, if there is one.
+
+        The message promises nothing that would have to be durable here.
+        """
+        if len(self.replica.members.voters()) < 2:
+            return
+        for effect in hand_over(self.replica, replica_clock(), self.rng):
+            if isinstance(effect, Send):
+                self.send(effect)
+
     def drop_unsaved(self) -> None:
         """Reply to who waits and drop all other effects.
 
@@ -212,6 +226,14 @@
             self.shown = shown
             role, term = shown
             log_event("replica_role", role=role.value, term=term)
+            if role is not Role.LEADER:
+                self.end_waits()
+
+    def end_waits(self) -> None:
+        """Wake who waits for an outcome that this replica no longer decides."""
+        waiting, self.waiting = self.waiting, {}
+        for event in waiting.values():
+            event.set()
 
     async def receive(self, sender: str, body: bytes) -> bytes:
         """Take a message of another replica."""
@@ -225,10 +247,13 @@
         """Propose a change and wait for its outcome; a resend gets the first one.
 
         :raises ChangeUnsettledError: the outcome is not known in time.
+        :raises LeadLostError: another replica decides it by now.
         """
         operation = change.operation_id
-        if operation not in self.waiting:
-            now = replica_clock()
+        now = replica_clock()
+        if operation in self.waiting:
+            check_lease(self.replica, now)
+        else:
             submission = submit(self.replica, change, now, time.time())
             if submission.outcome is not None:
                 return submission.outcome
@@ -236,15 +261,18 @@
         return check_resend(await self.wait_for(operation), change.operator)
 
     async def wait_for(self, operation: str) -> ChangeOutcome:
-        """Wait until an operation has an outcome."""
+        """Wait until an operation has an outcome, or this replica leads no more."""
         event = self.waiting.setdefault(operation, anyio.Event())
         with anyio.move_on_after(CHANGE_SECONDS):
             await event.wait()
         outcome = self.replica.applied.outcomes.get(operation)
-        if outcome is None:
-            self.waiting.pop(operation, None)
-            raise ChangeUnsettledError(operation_id=operation, seconds=CHANGE_SECONDS)
-        return outcome
+        if outcome is not None:
+            return outcome
+        if event.is_set():
+            raise LeadLostError(operation_id=operation)
+        if self.waiting.get(operation) is event:
+            del self.waiting[operation]
+        raise ChangeUnsettledError(operation_id=operation, seconds=CHANGE_SECONDS)
 
     async def run(self) -> None:
         """Do what is due until cancelled."""
--- a/testing/transport/test_full_disks.py
+++ b/testing/transport/test_full_disks.py
@@ -92,6 +92,24 @@
     assert not [operation for operation in cell.told if operation not in known]
 
 
+def test_a_change_at_a_leader_with_a_full_disk_is_answered_in_time(
+    tmp_path: Path,
+) -> None:
+    """Guards against calls that wait at a replica which can decide nothing."""
+    cell = DiskCell(folder=tmp_path, count=3, size=3, seed=1)
+
+    async def scenario(cell: DiskCell) -> None:
+        leader = leader_of(cell)
+        await leader.changes.submit(change_without_base("before"))
+        leader.disk.fill()
+        with anyio.fail_after(PATIENCE_SECONDS):
+            outcome = await leader.changes.submit(change_without_base("during"))
+        assert not outcome.code
+        assert cell.leader() is not leader
+
+    run(cell, scenario)
+
+
 def test_a_file_that_cannot_be_removed_keeps_no_replica_out(tmp_path: Path) -> None:
     """Guards against a saved state that a failed clean-up makes look unsaved."""
     cell = DiskCell(folder=tmp_path, count=1, size=1, seed=1)
