Save the upstreams once a full disk has room

Callers: after a loss of power everywhere, replicas could start from an old list of upstreams, so that the first ones to announce themselves get all the load. Cause: a save that the disk refused counted as done until the next news of an upstream. Evidence: test_upstreams_are_saved_once_the_disk_has_room failed before.

--- a/src/chervilstage/transport/feed_server.py
+++ b/src/chervilstage/transport/feed_server.py
@@ -199,9 +199,9 @@
             await anyio.sleep(SWEEP_SECONDS)
             now = replica_clock()
             forget_silent(self.feed, now)
-            if self.feed.news != self.saved:
-                self.saved = self.feed.news
-                self.store.save(all_items(self.feed, now))
+            news = self.feed.news
+            if news != self.saved and self.store.save(all_items(self.feed, now)):
+                self.saved = news
 
     async def start(self, group: TaskGroup) -> None:
         """Take what was saved and begin to watch."""
--- a/src/chervilstage/transport/upstream_store.py
+++ b/src/chervilstage/transport/upstream_store.py
@@ -32,8 +32,8 @@
         self.folder = folder
         self.has_failed = False
 
-    def save(self, items: list[FeedItem]) -> None:
-        """Replace the file; a disk that refuses is logged once."""
+    def save(self, items: list[FeedItem]) -> bool:
+        """Replace the file and tell if the disk took it; a refusal is logged once."""
         data = encode_record(encode_saved_upstreams(items))
         new = self.folder / NEW_FILE
         try:
@@ -49,6 +49,7 @@
             self.has_failed = True
         else:
             self.has_failed = False
+        return not self.has_failed
 
     def load(self) -> list[FeedItem]:
         """Return what was saved, as if the upstreams had just announced themselves.
--- a/testing/transport/test_feed_server.py
+++ b/testing/transport/test_feed_server.py
@@ -112,3 +112,24 @@
             await server.announce(LEAVING)
 
     anyio.run(main)
+
+
+def test_upstreams_are_saved_once_the_disk_has_room(
+    server: FeedServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a hint that stays old until the next upstream changes."""
+    monkeypatch.setattr(feed_server, "SWEEP_SECONDS", 0.01)
+    folder = server.store.folder
+    server.store.folder = folder / "full"
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.sweep)
+            await anyio.sleep(0.1)
+            assert server.store.has_failed
+            server.store.folder = folder
+            await anyio.sleep(0.1)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert len(server.store.load()) == 1
