Hand the lead over to a voter that still answers

Callers: no change was accepted for an election time after a planned stop, or a full disk, of the leader while another voter was silent. Cause: of the voters that hold the whole log, the last by name was asked to lead, also one that had been silent for up to 1.5 s. Evidence: test_lead_is_handed_over_to_a_voter_that_answers failed before. Change: of those that hold most of the log, the one that has answered last is asked.

--- a/src/chervilstage/coordination/election.py
+++ b/src/chervilstage/coordination/election.py
@@ -91,18 +91,21 @@
 
 
 def hand_over(replica: Replica, now: float, rng: Random) -> list[ReplicaEffect]:
-    """Give up the lead and the lease, and ask another voter to take it at once."""
+    """Give up the lead and the lease, and ask another voter to take it at once.
+
+    Of those that hold most of the log, the one that has answered last is asked.
+    """
     if replica.role is not Role.LEADER:
         return []
     voters = [
-        (replica.progress[m.identity].matched, m)
+        (replica.progress[m.identity].matched, replica.progress[m.identity].acked_at, m)
         for m in replica.members.members
         if m.voter and m.identity in replica.progress
         if m.identity != replica.identity
     ]
     effects = follow(replica, replica.term, 0, now, rng)
     if voters:
-        _, best = max(voters)
+        _, _, best = max(voters)
         body = HandOver(term=replica.term)
         effects.append(Send(address=best.address, to=best.identity, body=body))
     return effects
--- a/testing/coordination/test_replica_cases.py
+++ b/testing/coordination/test_replica_cases.py
@@ -238,6 +238,18 @@
         self.assertThat(cell.leaders(), HasLength(1))
         self.assertThat(cell.leaders() == [old.name], Equals(False))
 
+    def test_lead_is_handed_over_to_a_voter_that_answers(self) -> None:
+        """Guards against an election time because a silent voter is asked to lead."""
+        for silent in range(4):
+            cell = self.formed([*NAMES, "d", "e"])
+            old = self.leader_of(cell)
+            cell.crash(self.followers_of(cell)[silent])
+            cell.advance(ELECTION_SECONDS / 2)
+            old.pending += hand_over(replica_of(old), old.clock(cell.now), cell.rng)
+            cell.flush(old)
+            cell.advance(ELECTION_SECONDS / 2)
+            self.assertThat(cell.leaders(), HasLength(1))
+
     def test_vote_survives_a_restart(self) -> None:
         """Guards against two votes of one replica in one term."""
         cell = self.formed(NAMES)
