--- a/src/chervilstage/transport/log_store.py
+++ b/src/chervilstage/transport/log_store.py
@@ -8,15 +8,23 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
+import logging
 import os
 import time
-from collections.abc import Callable, Sequence
-from contextlib import suppress
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager, suppress
+from io import BytesIO
 from pathlib import Path
 from typing import BinaryIO
 
-from ..errors.configuration import FolderInUseError, LogDamagedError
+from ..errors.configuration import (
+    FolderInUseError,
+    LogDamagedError,
+    LogFullError,
+    LogWriteError,
+)
 from ..protocol.log_files import (
     Meta,
     encode_log_entry,
@@ -28,9 +36,11 @@
 )
 from ..state.log_entries import LogEntry
 from ..state.replica import Snapshot, Stored, Vote
+from .event_log import log_event
 
 META = "meta"
 META_NEW = "meta.new"
+FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 SyncObserver = Callable[[float], None]
 
@@ -38,10 +48,15 @@
 class LogStore:
     """Holds the log, the snapshot, the vote and the identity of a replica.
 
+    ``is_saved`` is false while a full disk has not taken the files of a blank folder.
+
     :param folder: the data folder.
     :param identity: the identity to take if the folder is blank.
     :param observe: called with the seconds of each stall of the loop, by a sync or by
         a snapshot.
+    :raises LogDamagedError: the files are damaged.
+    :raises FolderInUseError: another process uses the folder.
+    :raises LogWriteError: the disk has failed.
     """
 
     def __init__(
@@ -53,21 +68,25 @@
         sync_file: Callable[[int], None] = os.fsync,
     ) -> None:
         self.meta: Meta
-        self.file: BinaryIO
-        self.durable: tuple[Meta, Snapshot, tuple[int, ...]]
+        self.file: BinaryIO = BytesIO()
+        self.named: frozenset[str] = frozenset()
+        self.last_number = 0
         self.folder = folder
         self.observe = observe
         self.sync_file = sync_file
         self.snapshot = Snapshot()
         self.ends: list[int] = []
         self.has_new_files = False
-        folder.mkdir(parents=True, exist_ok=True)
-        self.lock = self._lock_folder()
-        try:
-            self.stored = self._load() if self._is_used() else self._create(identity)
-        except BaseException:
-            os.close(self.lock)
-            raise
+        self.is_saved = True
+        with disk_errors(folder):
+            folder.mkdir(parents=True, exist_ok=True)
+            self.lock = self._lock_folder()
+            try:
+                used = self._is_used()
+                self.stored = self._load() if used else self._create(identity)
+            except BaseException:
+                os.close(self.lock)
+                raise
 
     def save_vote(self, vote: Vote) -> None:
         """Note a vote; it is durable after ``sync``."""
@@ -84,7 +103,7 @@
     def save_snapshot(self, snapshot: Snapshot, entries: Sequence[LogEntry]) -> None:
         """Replace the snapshot and the log; durable after ``sync``."""
         started = time.perf_counter()
-        number = max(self.meta.snapshot_number, self.meta.log_number) + 1
+        number = self._next_number()
         path = self._snapshot_path(number)
         with path.open("wb") as file:
             file.write(encode_snapshot_file(snapshot))
@@ -108,27 +127,28 @@
         self._replace_meta()
         if replaced:
             self._remove_others()
-        self.durable = (self.meta, self.snapshot, tuple(self.ends))
         self.observe(time.perf_counter() - started)
 
-    def rewind(self) -> None:
-        """Go back to what is durable, after a disk that was full took only a part.
+    def save_anew(
+        self, vote: Vote, snapshot: Snapshot, entries: Sequence[LogEntry]
+    ) -> None:
+        """Save and sync all that a replica holds, after a disk took only a part.
 
-        The log goes on in a new file, so that the one that the meta file names stays
-        as it is until the next sync.
+        New files are written, so that those that the meta file names stay as they are
+        until the new ones are complete.
 
-        :raises OSError: the disk is still full.
+        :raises OSError: the disk still refuses it.
         """
+        # What the file still buffers is part of what is saved anew.
         with suppress(OSError):
             self.file.close()
-        numbers = self.meta.log_number, self.meta.snapshot_number
-        self.meta, self.snapshot, ends = self.durable
-        data = self._log_path(self.meta.log_number).read_bytes()
-        self.file = self._open_log(max(numbers) + 1, "wb")
-        self.file.write(data[: ends[-1]] if ends else b"")
-        self.file.flush()
-        self.ends = list(ends)
-        self.meta = self.meta._replace(log_number=max(numbers) + 1)
+        if not self.is_saved:
+            # A folder without a meta file is blank only as long as all else is.
+            self._create_files()
+        self._remove_others()
+        self.save_vote(vote)
+        self.save_snapshot(snapshot, entries)
+        self.sync()
 
     def close(self) -> None:
         """Close the log file and unlock the folder."""
@@ -163,31 +183,38 @@
             snapshot_number=0,
             synced_bytes=0,
         )
-        self.file = self._open_log(1, "wb")
-        self.sync()
-        sync_folder(self.folder.parent, self.sync_file)
+        self.last_number = self.meta.log_number
+        try:
+            self._create_files()
+        except OSError as error:
+            if error.errno not in FULL_ERRORS:
+                raise
+            self.is_saved = False
         return Stored(
             identity=identity, vote=Vote(), snapshot=self.snapshot, entries=()
         )
 
+    def _create_files(self) -> None:
+        self.file = self._open_log(self.meta.log_number, "wb")
+        self.sync()
+        sync_folder(self.folder.parent, self.sync_file)
+        self.is_saved = True
+
     def _load(self) -> Stored:
         self.meta = read_meta(self._read(META), str(self.folder / META))
         if self.meta.snapshot_number:
             path = self._snapshot_path(self.meta.snapshot_number)
             self.snapshot = read_snapshot_file(self._read(path.name), str(path))
         path = self._log_path(self.meta.log_number)
-        data = self._read(path.name)
-        records = read_records(data, self.meta.synced_bytes, str(path))
+        synced = self.meta.synced_bytes
+        # Nothing after the synced bytes has been acknowledged; it is written over.
+        records = read_records(self._read(path.name)[:synced], synced, str(path))
         self._check_start(records.entries, path)
         self.ends = list(records.ends)
         self.file = self._open_log(self.meta.log_number, "r+b")
-        end = self.ends[-1] if self.ends else 0
-        self.file.truncate(end)
-        self.file.seek(0, os.SEEK_END)
-        if len(data) == end == self.meta.synced_bytes:
-            self.durable = (self.meta, self.snapshot, tuple(self.ends))
-        else:
-            self.sync()
+        self.file.seek(synced)
+        self.named = self._names_in(self.meta)
+        self.last_number = max(self.meta.log_number, self.meta.snapshot_number)
         self._remove_others()
         return Stored(
             identity=self.meta.identity,
@@ -221,7 +248,7 @@
 
     def _rewrite(self, data: bytes, ends: list[int]) -> None:
         self.file.close()
-        number = max(self.meta.log_number, self.meta.snapshot_number) + 1
+        number = self._next_number()
         self.file = self._open_log(number, "wb")
         self.file.write(data)
         self.ends = list(ends)
@@ -236,20 +263,39 @@
         if self.has_new_files:
             sync_folder(self.folder, self.sync_file)
             self.has_new_files = False
+        # Until the folder is synced, a loss of power may leave either meta file.
+        self.named |= self._names_in(self.meta)
         new.replace(self.folder / META)
         sync_folder(self.folder, self.sync_file)
+        self.named = self._names_in(self.meta)
 
     def _remove_others(self) -> None:
-        used = {
-            META,
-            self._log_path(self.meta.log_number).name,
-            self._snapshot_path(self.meta.snapshot_number).name,
-        }
+        """Remove the files that no meta file names; what stays is removed later."""
         for pattern in ("log-*", "snapshot-*"):
             for path in self.folder.glob(pattern):
-                if path.name not in used:
-                    with suppress(FileNotFoundError):
-                        path.unlink()
+                if path.name not in self.named:
+                    self._remove(path)
+
+    def _remove(self, path: Path) -> None:
+        try:
+            path.unlink(missing_ok=True)
+        except OSError as error:
+            log_event(
+                "log_file_left", level=logging.WARNING, file=path.name, reason=error
+            )
+
+    def _names_in(self, meta: Meta) -> frozenset[str]:
+        return frozenset(
+            {
+                self._log_path(meta.log_number).name,
+                self._snapshot_path(meta.snapshot_number).name,
+            }
+        )
+
+    def _next_number(self) -> int:
+        """Return a number that no file has had, so that none is written over."""
+        self.last_number += 1
+        return self.last_number
 
     def _open_log(self, number: int, mode: str) -> BinaryIO:
         self.has_new_files |= mode == "wb"
@@ -270,3 +316,17 @@
         sync_file(descriptor)
     finally:
         os.close(descriptor)
+
+
+@contextmanager
+def disk_errors(folder: Path) -> Iterator[None]:
+    """Turn an error of the disk into a typed one.
+
+    :raises LogFullError: the disk is full.
+    :raises LogWriteError: the disk has failed in another way.
+    """
+    try:
+        yield
+    except OSError as error:
+        kind = LogFullError if error.errno in FULL_ERRORS else LogWriteError
+        raise kind(folder=folder, reason=error) from error
--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 import time
 from collections.abc import Sequence
+from contextlib import suppress
 from random import Random
 
 import anyio
@@ -22,33 +22,37 @@
     submit,
 )
 from ..coordination.replica_effects import (
+    Persist,
     ReplicaEffect,
     Reply,
     SaveEntries,
-    SaveSnapshot,
     SaveVote,
     Send,
 )
 from ..coordination.replica_members import settle_members
-from ..errors.configuration import ChangeUnsettledError, LogFullError, LogWriteError
+from ..coordination.replica_terms import check_lease
+from ..errors.configuration import (
+    ChangeUnsettledError,
+    LeadLostError,
+    LogFullError,
+)
 from ..protocol.consensus_messages import decode_replica_message
 from ..protocol.kinds import Kind
 from ..state.configuration import Change, ChangeOutcome
 from ..state.replica import Role
-from ..state.replica_messages import ReplicaMessage
+from ..state.replica_messages import Append, InstallSnapshot, ReplicaMessage
 from ..state.types import Address
 from .application import Hooks
 from .clock import replica_clock
 from .event_log import log_event
 from .frame_channel import FrameServer
-from .log_store import LogStore
+from .log_store import LogStore, disk_errors
 from .replica_links import ReplicaLinks
 
 CHANGE_SECONDS = 5.0
 HAND_OVER_SECONDS = 1.0
 BATCH_EFFECTS = 64
 FULL_RETRY_SECONDS = 0.2
-FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
 class ReplicaDriver:
@@ -85,6 +89,8 @@
         self.leader_heard = anyio.Event()
         self.waiting: dict[str, anyio.Event] = {}
         self.shown = (self.replica.role, self.replica.term)
+        self.is_full = not store.is_saved
+        self.has_unreported_saves = False
         for kind in (Kind.VOTE, Kind.APPEND, Kind.SNAPSHOT):
             frames.serve(kind, self.receive)
 
@@ -103,12 +109,14 @@
         :raises LogWriteError: the disk has failed; nothing is acknowledged any more.
         """
         batch = self.pending[:BATCH_EFFECTS]
-        saved = self.save(batch)
+        saved = [effect for effect in batch if isinstance(effect, Persist)]
+        if saved:
+            with disk_errors(self.store.folder):
+                self.save(saved)
+            self.has_unreported_saves = True
         del self.pending[:BATCH_EFFECTS]
-        if saved and not self.pending:
-            last = self.replica.log.last_index
-            now = replica_clock()
-            self.pending += persisted(self.replica, last, now, self.rng)
+        if self.has_unreported_saves and not self.pending:
+            self.report_saves()
         for effect in batch:
             if isinstance(effect, Send):
                 self.send(effect)
@@ -116,42 +124,79 @@
                 self.reply(effect.outcome)
         self.show()
 
-    def save(self, batch: Sequence[ReplicaEffect]) -> bool:
-        """Write and sync the durable effects of a batch, and tell if there were any."""
-        saved = False
-        try:
-            for effect in batch:
-                if isinstance(effect, SaveVote):
-                    self.store.save_vote(effect.vote)
-                elif isinstance(effect, SaveEntries):
-                    self.store.save_entries(effect.after, effect.entries)
-                elif isinstance(effect, SaveSnapshot):
-                    self.store.save_snapshot(effect.snapshot, effect.entries)
-                else:
-                    continue
-                saved = True
-            if saved:
-                self.store.sync()
-        except OSError as error:
-            kind = LogFullError if error.errno in FULL_ERRORS else LogWriteError
-            raise kind(folder=self.store.folder, reason=error) from error
-        return saved
+    def save(self, effects: Sequence[Persist]) -> None:
+        """Write and sync effects."""
+        for effect in effects:
+            if isinstance(effect, SaveVote):
+                self.store.save_vote(effect.vote)
+            elif isinstance(effect, SaveEntries):
+                self.store.save_entries(effect.after, effect.entries)
+            else:
+                self.store.save_snapshot(effect.snapshot, effect.entries)
+        self.store.sync()
+
+    def report_saves(self) -> None:
+        """Tell the replica that its whole log is durable."""
+        self.has_unreported_saves = False
+        last = self.replica.log.last_index
+        self.pending += persisted(self.replica, last, replica_clock(), self.rng)
 
     async def wait_for_space(self, error: LogFullError) -> None:
-        """Wait until the log can be written again; nothing is sent meanwhile.
+        """Wait until the disk takes the state of this replica again.
 
-        The other replicas hear nothing of this one and go on without it.
+        Meanwhile this replica does not lead, votes for nobody and sends nothing, but it
+        hears the leader, so that it can hand calls over. What it holds is saved anew
+        and in whole, since the disk may have taken a part of what failed.
+
+        :raises LogWriteError: the disk has failed in another way.
         """
         log_event("log_full", level=logging.ERROR, code=error.code, reason=error)
-        while True:
+        started = replica_clock()
+        self.is_full = True
+        while self.is_full:
+            self.give_lead_away()
+            self.drop_unsaved()
             await anyio.sleep(FULL_RETRY_SECONDS)
-            try:
-                self.store.rewind()
-                self.flush()
-            except (OSError, LogFullError):
-                continue
-            log_event("log_writable")
+            with suppress(LogFullError):
+                self.save_anew()
+                self.is_full = False
+        log_event("log_writable", seconds=round(replica_clock() - started, 3))
+
+    def give_lead_away(self) -> None:
+        """Have another voter take the lead at once, if there is one.
+
+        The message promises nothing that would have to be durable here.
+        """
+        if len(self.replica.members.voters()) < 2:
             return
+        for effect in hand_over(self.replica, replica_clock(), self.rng):
+            if isinstance(effect, Send):
+                self.send(effect)
+
+    def drop_unsaved(self) -> None:
+        """Reply to who waits and drop all other effects.
+
+        An outcome is that of a committed entry, which a majority of disks holds. What
+        is not sent counts as lost, and ``save_anew`` saves the newest state.
+        """
+        dropped, self.pending = self.pending, []
+        for effect in dropped:
+            if isinstance(effect, Reply):
+                self.reply(effect.outcome)
+        self.show()
+
+    def save_anew(self) -> None:
+        """Make the newest state of the replica durable.
+
+        :raises LogFullError: the disk is still full.
+        :raises LogWriteError: the disk has failed in another way.
+        """
+        replica = self.replica
+        entries = replica.log.after(replica.snapshot.position)
+        with disk_errors(self.store.folder):
+            self.store.save_anew(replica.vote, replica.snapshot, entries)
+        self.drop_unsaved()
+        self.report_saves()
 
     def send(self, effect: Send) -> None:
         """Send a message."""
@@ -181,10 +226,20 @@
             self.shown = shown
             role, term = shown
             log_event("replica_role", role=role.value, term=term)
+            if role is not Role.LEADER:
+                self.end_waits()
+
+    def end_waits(self) -> None:
+        """Wake who waits for an outcome that this replica no longer decides."""
+        waiting, self.waiting = self.waiting, {}
+        for event in waiting.values():
+            event.set()
 
     async def receive(self, sender: str, body: bytes) -> bytes:
         """Take a message of another replica."""
         message = decode_replica_message(body)
+        if self.is_full and not isinstance(message.body, (Append, InstallSnapshot)):
+            return b""
         self.take(receive(self.replica, message, replica_clock(), self.rng))
         return b""
 
@@ -192,10 +247,13 @@
         """Propose a change and wait for its outcome; a resend gets the first one.
 
         :raises ChangeUnsettledError: the outcome is not known in time.
+        :raises LeadLostError: another replica decides it by now.
         """
         operation = change.operation_id
-        if operation not in self.waiting:
-            now = replica_clock()
+        now = replica_clock()
+        if operation in self.waiting:
+            check_lease(self.replica, now)
+        else:
             submission = submit(self.replica, change, now, time.time())
             if submission.outcome is not None:
                 return submission.outcome
@@ -203,18 +261,25 @@
         return check_resend(await self.wait_for(operation), change.operator)
 
     async def wait_for(self, operation: str) -> ChangeOutcome:
-        """Wait until an operation has an outcome."""
+        """Wait until an operation has an outcome, or this replica leads no more."""
         event = self.waiting.setdefault(operation, anyio.Event())
         with anyio.move_on_after(CHANGE_SECONDS):
             await event.wait()
         outcome = self.replica.applied.outcomes.get(operation)
-        if outcome is None:
-            self.waiting.pop(operation, None)
-            raise ChangeUnsettledError(operation_id=operation, seconds=CHANGE_SECONDS)
-        return outcome
+        if outcome is not None:
+            return outcome
+        if event.is_set():
+            raise LeadLostError(operation_id=operation)
+        if self.waiting.get(operation) is event:
+            del self.waiting[operation]
+        raise ChangeUnsettledError(operation_id=operation, seconds=CHANGE_SECONDS)
 
     async def run(self) -> None:
         """Do what is due until cancelled."""
+        if not self.store.is_saved:
+            reason = "the disk has no room for a new log"
+            error = LogFullError(folder=self.store.folder, reason=reason)
+            await self.wait_for_space(error)
         while True:
             now = replica_clock()
             self.pending += tick(self.replica, now, self.rng)
