Log the flows that an entry takes over and the tokens that it replaces

An open flow whose packets went to another upstream left no line: neither the entry that found it by its token nor the one that replaced a second upstream's token told of it, so a FLOW break by stray packets, or by the reset of a second upstream, could not be explained.

Change: flow_found and flow_token_replaced, under the budget of new flows, with the upstream of the packet's token and the one that gets the packet.

Measured: test_a_flow_that_comes_from_another_entry_leaves_a_line.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -58,6 +58,7 @@
         return _open_flow(state, packet, now, rng)
     key = packet.caller + packet.front
     flow = state.flows.get(key)
+    is_found = flow is None
     if flow is None or not flow.is_open:
         found = _flow_of_token(state, packet, flow, now)
         if not isinstance(found, TokenFlow):
@@ -73,6 +74,7 @@
         address=record.identity.address,
         label=record.label,
         token=None if packet.token == flow.token else flow.token,
+        is_found=is_found,
     )
 
 
--- a/src/chervilstage/state/flow_packets.py
+++ b/src/chervilstage/state/flow_packets.py
@@ -30,11 +30,16 @@
 
 
 class Forward(NamedTuple):
-    """Send a packet to an upstream; ``token`` replaces the packet's own if not None."""
+    """Send a packet to an upstream; ``token`` replaces the packet's own if not None.
+
+    ``is_found`` tells that this entry did not hold the flow and found its upstream by
+    the packet's token.
+    """
 
     address: Address
     label: int
     token: int | None
+    is_found: bool = False
 
 
 class ResetFlow(NamedTuple):
--- a/src/chervilstage/transport/relay_log.py
+++ b/src/chervilstage/transport/relay_log.py
@@ -53,6 +53,28 @@
             fields |= {"outcome": kind, "reason": decision.reason}
         log_event("flow_decided", **fields)
 
+    def moved(
+        self,
+        state: TokenRelayState,
+        packet: FlowPacket,
+        decision: Forward,
+        now: float,
+    ) -> None:
+        """Log that a flow was found by its token, or that its token was replaced."""
+        event = "flow_found" if decision.is_found else "flow_token_replaced"
+        if not self.budget.may_write(event, now):
+            return
+        fields: dict[str, Any] = {
+            "flow": flow_text(packet.caller, packet.front),
+            "packet_token": f"{packet.token:08x}",
+            "packet_upstream": _holder_text(state, packet.token),
+        }
+        flow = state.flows.get(packet.caller + packet.front)
+        if flow:
+            fields |= _flow_fields(flow, now)
+        address = decision.address
+        log_event(event, **fields, upstream=f"{address.host}:{address.port}")
+
     def closed(
         self,
         state: TokenRelayState,
@@ -115,6 +137,14 @@
     return f"{host}:{int.from_bytes(endpoint[4:], 'big')}"
 
 
+def _holder_text(state: TokenRelayState, token: int) -> str:
+    """Return the address of the upstream that a token stands for."""
+    record = state.tokens.get(token)
+    if record is None:
+        return "ended" if token in state.ended_tokens else "unknown"
+    return f"{record.identity.address.host}:{record.identity.address.port}"
+
+
 def _flow_fields(flow: TokenFlow, now: float) -> dict[str, Any]:
     """Return what this entry held of a flow that is closed."""
     busy_since = now if flow.busy_since is None else flow.busy_since
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -121,12 +121,16 @@
     def note(
         self, packet: FlowPacket, decision: Forward | ResetFlow | DropPacket, now: float
     ) -> None:
-        """Count a decision and log those that settle a flow."""
+        """Count a decision and log those that settle or move a flow."""
         if isinstance(decision, ResetFlow):
             self.log.decided(self.state, packet, decision, now)
         elif packet.is_opening:
             self.counters.add("opening_packets", type(decision).__name__)
             self.log.decided(self.state, packet, decision, now)
+        elif isinstance(decision, Forward) and (
+            decision.is_found or decision.token is not None
+        ):
+            self.log.moved(self.state, packet, decision, now)
 
     def release_held(self) -> None:
         """Relay the packets that waited, or drop those that have waited too long."""
--- a/testing/transport/test_relay_log.py
+++ b/testing/transport/test_relay_log.py
@@ -7,9 +7,10 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, HasLength
 
+from chervilstage.coordination.flow_tokens import flow_token
 from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.state.counters import Counters
-from chervilstage.state.flow_packets import FlowPacket, ResetFlow
+from chervilstage.state.flow_packets import FlowPacket, Forward, ResetFlow
 from chervilstage.state.routing import endpoint_of
 from chervilstage.state.types import Address
 from chervilstage.transport.log_budget import BURST_LINES
@@ -57,6 +58,23 @@
         for name in ("quiet_ms", "heard_ms_ago", "answered_ms_ago", "loop_late_ms"):
             self.assertThat(line, Contains(name))
 
+    def test_a_flow_that_comes_from_another_entry_leaves_a_line(self) -> None:
+        """Guards against packets at a wrong upstream that nobody can explain."""
+        relay = RelayDriver(records=[make_record(1), make_record(2)])
+        log = RelayLog(counters=Counters())
+        for label in (1, 2):
+            packet = make_packet(token=flow_token(make_record(label).identity))
+            decision = relay_packet(relay.state, packet, relay.now, relay.rng)
+            assert isinstance(decision, Forward)
+            log.moved(relay.state, packet, decision, relay.now)
+        found, replaced = self.lines
+        self.assertThat(found["event"], Equals("flow_found"))
+        self.assertThat(found["upstream"], Equals("10.0.0.1:8080"))
+        self.assertThat(found["held_token"], Equals(found["packet_token"]))
+        self.assertThat(replaced["event"], Equals("flow_token_replaced"))
+        self.assertThat(replaced["upstream"], Equals("10.0.0.1:8080"))
+        self.assertThat(replaced["packet_upstream"], Equals("10.0.0.2:8080"))
+
 
 class LoopLatenessTests(TestCase):
     """Guards against a pause of the loop that does not show, or shows for ever."""
