Form no second set of control replicas from the seeds of later settings

Cause: of eight control replicas three form the set and two are let in; the others stay blank and seek a place. A blank replica took any settings for those of the first start. When the seeds change to three replicas that all wait, each of them answers that it has never belonged to a set, and they form one.

Change: only the replicas that the settings list at the start of the process form a set, and none does while any replica answers that it belongs to one. The fake of the replica tests forms the set likewise.

--- a/src/chervilstage/coordination/replica_members.py
+++ b/src/chervilstage/coordination/replica_members.py
@@ -50,18 +50,21 @@
     member: ReplicaMember | None = None
 
 
-def may_form(own: Hello, listed: Iterable[str], answers: Iterable[Hello]) -> bool:
+def may_form(own: Hello, founders: Iterable[str], answers: Iterable[Hello]) -> bool:
     """Tell whether a blank replica may form the set of replicas.
 
-    Only the one with the lowest name may, and only if every listed replica has
-    answered that it has never belonged to a set. A single answer of one that has
-    proves that changes may have been accepted.
+    Only the one with the lowest name may, and only if every founder has answered that
+    it has never belonged to a set. A single answer of one that has proves that changes
+    may have been accepted.
 
-    :param listed: the names of all replicas in the settings.
+    :param founders: the names of all replicas that the set begins with.
+    :param answers: those of the founders, and of others that are known.
     """
-    names = set(listed) | {own.name}
-    blank = {hello.name for hello in answers if not hello.formed} | {own.name}
-    return not own.formed and own.name == min(names) and blank == names
+    names = set(founders) | {own.name}
+    hellos = [own, *answers]
+    if any(hello.formed for hello in hellos) or own.name != min(names):
+        return False
+    return names <= {hello.name for hello in hellos}
 
 
 def form(replica: Replica, hellos: Iterable[Hello]) -> list[ReplicaEffect]:
--- a/src/chervilstage/transport/replica_formation.py
+++ b/src/chervilstage/transport/replica_formation.py
@@ -33,8 +33,11 @@
 class ReplicaFormation:
     """Exchanges hellos with the other replicas until this one belongs to a set.
 
+    Only the replicas that the settings list at the start form a set. Later settings
+    may list replicas that are all blank because a set without them exists.
+
     :param own: the name, data centre and address of this replica.
-    :param listed: returns the replicas of the settings.
+    :param listed: returns the replicas of the settings, which may change.
     :param may_form: whether blank replicas may form a set.
     """
 
@@ -50,6 +53,7 @@
     ) -> None:
         self.own = own
         self.listed = listed
+        self.founders = [p for p in listed() if p.name != own.name]
         self.may_form = may_form
         self.driver = driver
         self.client = client
@@ -110,12 +114,12 @@
 
     async def join(self) -> None:
         """Exchange hellos with the other replicas until this one belongs to a set."""
+        founders = {peer.name for peer in self.founders}
         while not self.driver.replica.is_formed():
-            listed = [p for p in self.listed() if p.name != self.own.name]
-            answers = await self.exchange_with(listed)
-            names = [peer.name for peer in listed]
-            if self.may_form and may_form(self.own_hello(), names, answers):
-                members = [*answers, self.own_hello()]
+            answers = await self.exchange_with([*self.founders, *self.listed()])
+            if self.may_form and may_form(self.own_hello(), founders, answers):
+                members = [h for h in answers if h.name in founders]
+                members.append(self.own_hello())
                 self.driver.take(form(self.driver.replica, members))
                 log_event("replicas_formed", count=len(members))
                 return
--- a/testing/support/replica_fakes.py
+++ b/testing/support/replica_fakes.py
@@ -328,7 +328,8 @@
             if other.replica is not None:
                 answers.append(self.hello(other, answering))
         if may_form(own, self.listed, answers):
-            node.pending += form(replica, [own, *answers])
+            founders = [h for h in answers if h.name in self.listed]
+            node.pending += form(replica, [own, *founders])
 
     def seeks_place(self, node: Node, replica: Replica) -> bool:
         """Tell whether a replica asks to be let in again, as the formation does."""
