--- a/src/chervilstage/coordination/flow_tokens.py
+++ b/src/chervilstage/coordination/flow_tokens.py
@@ -36,6 +36,11 @@
     return bool(token & PROVISIONAL)
 
 
+def names_another(token: int, other: int) -> bool:
+    """Tell whether two tokens stand for different upstreams, provisional or not."""
+    return bool((token ^ other) & TOKEN_MASK)
+
+
 def token_holders(records: Iterable[UpstreamRecord]) -> dict[int, UpstreamRecord]:
     """Return the upstream that each token stands for.
 
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -10,7 +10,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..coordination.flow_tokens import is_provisional
+from ..coordination.flow_tokens import names_another
 from ..coordination.relay_directory import forget_old
 from ..coordination.token_relay import relay_packet, sweep_flows
 from ..errors import ChervilstageError
@@ -101,9 +101,6 @@
         """Carry out the decision on a packet, or hold it for what it lacks."""
         decision = relay_packet(self.state, packet, now, self.rng)
         if isinstance(decision, Forward):
-            if decision.token is not None and not packet.is_opening:
-                kind = "provisional" if is_provisional(packet.token) else "plain"
-                self.counters.add("tokens_replaced", kind)
             out = self.codec.forward(data, decision.label, decision.token)
             if not send_datagram(self.sock, out, decision.address):
                 self.counters.add("packets_unsent", "upstream")
@@ -132,12 +129,24 @@
     def note(
         self, packet: FlowPacket, decision: Forward | ResetFlow | DropPacket, now: float
     ) -> None:
-        """Count a decision and log those that settle a flow."""
+        """Count a decision and log those that settle or move a flow."""
         if isinstance(decision, ResetFlow):
             self.log.decided(self.state, packet, decision, now)
         elif packet.is_opening:
             self.counters.add("opening_packets", type(decision).__name__)
             self.log.decided(self.state, packet, decision, now)
+        elif isinstance(decision, Forward):
+            self.note_move(packet, decision, now)
+
+    def note_move(self, packet: FlowPacket, decision: Forward, now: float) -> None:
+        """Count a token that is replaced, and log that a flow has moved."""
+        is_other = False
+        if decision.token is not None:
+            is_other = names_another(packet.token, decision.token)
+            kind = "other_upstream" if is_other else "provisional"
+            self.counters.add("tokens_replaced", kind)
+        if decision.is_found or is_other:
+            self.log.moved(self.state, packet, decision, now)
 
     def release_held(self) -> None:
         """Relay the packets that waited, unless what they lack is not there yet.
