Wait for the end of an upstream on flows that an entry does not hold

Packets of a flow were answered with a reset within milliseconds of the moment when their upstream said that it has ended, if the entry did not hold the flow: another entry than the one that had seen it open, or the same one after a restart. The upstream may still answer then.

Cause: the 0.3 s in which an ended upstream may finish were kept for the flows that an entry holds; a flow that is found by its token was closed at once.

Change: the entry keeps the records of ended upstreams and sends such packets on for the same time.

Measured: test_other_entries_let_an_ended_upstream_finish_as_well fails with ResetFlow on the code before and passes now.

--- a/src/chervilstage/coordination/relay_directory.py
+++ b/src/chervilstage/coordination/relay_directory.py
@@ -7,7 +7,7 @@
 
 from ..state.registry import is_leaving
 from ..state.routing import Routing, endpoint_of
-from ..state.token_flows import TokenRelayState
+from ..state.token_flows import EndedUpstream, TokenRelayState
 from ..state.types import UpstreamRecord
 from ..state.upstream_feed import FeedItem
 from .flow_tokens import flow_token, token_holders
@@ -78,9 +78,9 @@
         registry.remove(address, now)
     registry.forget_departed(now - ENDED_TOKEN_SECONDS)
     state.ended_tokens = {
-        token: at
-        for token, at in state.ended_tokens.items()
-        if now - at < ENDED_TOKEN_SECONDS
+        token: ended
+        for token, ended in state.ended_tokens.items()
+        if now - ended.at < ENDED_TOKEN_SECONDS
     }
     if old:
         rebuild(state)
@@ -116,7 +116,8 @@
 
 
 def _note_end(state: TokenRelayState, record: UpstreamRecord, now: float) -> None:
-    state.ended_tokens.setdefault(flow_token(record.identity), now)
+    ended = EndedUpstream(record=record, at=now)
+    state.ended_tokens.setdefault(flow_token(record.identity), ended)
 
 
 def _is_other(before: UpstreamRecord, after: UpstreamRecord) -> bool:
--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -163,9 +163,7 @@
         return _reset_unheld(packet, "route_removed")
     record = state.tokens.get(packet.token)
     if record is None:
-        if packet.token in state.ended_tokens:
-            return _reset_unheld(packet, "upstream_ended")
-        return DropPacket(reason="unknown_token")
+        return _pass_to_ended(state, packet, now)
     if record.identity.service not in services:
         return DropPacket(reason="foreign_token")
     if flow is None:
@@ -181,6 +179,22 @@
     return flow
 
 
+def _pass_to_ended(
+    state: TokenRelayState, packet: FlowPacket, now: float
+) -> PacketDecision:
+    """Decide where a packet goes that this entry does not hold and nobody may answer.
+
+    An upstream that has just ended gets it, like those of the flows held here.
+    """
+    ended = state.ended_tokens.get(packet.token)
+    if ended is None:
+        return DropPacket(reason="unknown_token")
+    if now - ended.at > ENDING_SECONDS:
+        return _reset_unheld(packet, "upstream_ended")
+    record = ended.record
+    return Forward(address=record.identity.address, label=record.label, token=None)
+
+
 def _open(state: TokenRelayState, flow: TokenFlow, now: float) -> None:
     """Take note that the upstream has answered the opening packet of this entry."""
     flow.is_open = True
@@ -246,8 +260,8 @@
     current = state.registry.records.get(address)
     if current is not None and current.identity.incarnation == incarnation:
         return False
-    ended_at = state.ended_tokens.get(flow_token(flow.upstream.identity))
-    return ended_at is not None and now - ended_at > ENDING_SECONDS
+    ended = state.ended_tokens.get(flow_token(flow.upstream.identity))
+    return ended is not None and now - ended.at > ENDING_SECONDS
 
 
 def _end_flow(
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from .histograms import Histogram
 from .registry import UpstreamRegistry
 from .routing import Endpoint, Route, Routing
@@ -109,13 +111,21 @@
         self.addresses: set[Address] = set()
 
 
+class EndedUpstream(NamedTuple):
+    """An upstream that has ended, and when this entry heard of it, in seconds."""
+
+    record: UpstreamRecord
+    at: float
+
+
 class TokenRelayState:
     """The routes, upstreams and flows of one entry.
 
     ``routing_told`` is the newest version of the routing table that a control replica
     has told of; it may be on its way still. ``services_of`` holds all services that a
     route has led to, since a new configuration leaves open flows where they are.
-    ``ended_tokens`` tells when an upstream ended whose token may still be in packets.
+    ``ended_tokens`` holds the upstreams that have ended, since their tokens may still
+    be in packets.
     ``unproven`` holds the sequence above which an upstream of a data centre that is
     back in service has to announce itself before it counts as warm.
     ``upstreams_from`` is when the first upstreams became known. ``silences`` holds the
@@ -138,7 +148,7 @@
         self.registry = UpstreamRegistry()
         self.upstreams_from: float | None = None
         self.tokens: dict[int, UpstreamRecord] = {}
-        self.ended_tokens: dict[int, float] = {}
+        self.ended_tokens: dict[int, EndedUpstream] = {}
         self.eligible: dict[str, tuple[UpstreamRecord, ...]] = {}
         self.unproven: dict[Address, int] = {}
         self.loads: dict[Address, UpstreamLoad] = {}
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -107,6 +107,19 @@
             relay.send(40_001, token=opened.token or 0), IsInstance(ResetFlow)
         )
 
+    def test_other_entries_let_an_ended_upstream_finish_as_well(self) -> None:
+        """Guards against a reset of a flow while its upstream is still ending."""
+        opened = RelayDriver(records=[make_record(1)]).open(40_001)
+        other = RelayDriver(records=[make_record(1)], name="entry-2")
+        other.hear(make_record(1), gone=True)
+        other.now += 0.1
+        sent = other.send(40_001, token=opened.token or 0)
+        assert isinstance(sent, Forward), sent
+        self.assertThat(sent, Equals(opened._replace(token=None)))
+        other.now += 0.5
+        later = other.send(40_001, token=opened.token or 0)
+        self.assertThat(later, IsInstance(ResetFlow))
+
     def test_an_end_that_is_told_again_is_no_later(self) -> None:
         """Guards against callers that wait while replica after replica tells an end."""
         relay = RelayDriver(records=[make_record(1)])
