Name the label of an upstream in upstream_changed

The lines of entries did not tell whether two runs have one label, so a trace could not show which of them was meant.

--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -107,6 +107,7 @@
             log_event(
                 "upstream_changed",
                 upstream=f"{address.host}:{address.port}",
+                label=f"{record.label:x}",
                 incarnation=incarnation,
                 service=service,
                 phase=record.phase.value,
