--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -1,12 +1,11 @@
 """Where each packet of a flow goes when callers return flow tokens.
 
-An opening packet goes to a chosen upstream and carries its token; the caller returns
-the token in all later packets, so that any entry can relay them. A flow that this
-entry has seen open stays at its upstream whatever later packets carry, because a
-second upstream may have answered a copy of the opening packet.
-
-A later token is replaced by that of the flow's upstream, so that the caller returns
-the right one to other entries.
+An opening packet goes to a chosen upstream and carries its token, and a copy of it may
+go to a second one; both may answer. The flow opens at the upstream whose token comes
+with the first byte after the opening packet. The entry that sees this gives the caller
+the plain token, which it returns in all later packets, so that any entry can relay
+them. A flow that this entry has seen open stays at its upstream whatever later packets
+carry, and other entries relay no packet by the token of an opening packet.
 
 An open flow is closed only when its route is removed or its upstream has ended.
 Silence keeps new flows away from an upstream and closes none: an entry sees only the
@@ -27,7 +26,7 @@
     is_after,
 )
 from ..state.token_flows import TokenFlow, TokenRelayState, UpstreamLoad
-from .flow_tokens import flow_token
+from .flow_tokens import PROVISIONAL, flow_token, is_provisional, provisional_token
 from .placement import choose_service, choose_upstream
 from .suspicion import note_answer, note_question, note_silence
 
@@ -41,6 +40,9 @@
 ENDING_SECONDS = 0.3
 # Callers have at most 16 packets of 1,200 bytes in flight.
 WINDOW_BYTES = 16 * 1200
+# Callers begin flows anywhere in the number space; other entries may have relayed as
+# much of the same flow since its last packet here.
+SAME_FLOW_BYTES = 1 << 20
 LATENCY_WEIGHT = 0.2
 CLOSING_SECONDS = 3.0
 # After this many intervals each upstream has announced itself once.
@@ -57,7 +59,7 @@
     if packet.is_opening:
         return _open_flow(state, packet, now, rng)
     key = packet.caller + packet.front
-    flow = state.flows.get(key)
+    flow = _held_flow(state, key, packet)
     is_found = flow is None
     if flow is None or not flow.is_open:
         found = _flow_of_token(state, packet, flow, now)
@@ -78,6 +80,23 @@
     )
 
 
+def _held_flow(
+    state: TokenRelayState, key: bytes, packet: FlowPacket
+) -> TokenFlow | None:
+    """Return the flow of a packet, and forget one whose caller's port is used again."""
+    flow = state.flows.get(key)
+    if flow is None or _continues(flow, packet):
+        return flow
+    _forget(state, key, flow)
+    return None
+
+
+def _continues(flow: TokenFlow, packet: FlowPacket) -> bool:
+    """Tell whether a packet's sequence is near that of a flow."""
+    distance = (packet.sequence - flow.highest) % NUMBER_SPACE
+    return min(distance, NUMBER_SPACE - distance) <= SAME_FLOW_BYTES
+
+
 def sweep_flows(state: TokenRelayState, now: float) -> None:
     """Forget the flows that have ended, and the requests that will not be answered."""
     routing = state.routing
@@ -105,13 +124,14 @@
             return DropPacket(reason="routing_behind")
         return ResetFlow(sequence=0, reason="no_route")
     key = packet.caller + packet.front
-    flow = state.flows.get(key)
+    flow = _held_flow(state, key, packet)
     if flow is None:
         service = choose_service(route, rng)
         record = choose_upstream(state, service, frozenset(), now, rng)
         if record is None:
-            return _refuse(state, now)
+            return _refuse(state, packet, now)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
+        flow.highest = flow.opening = packet.sequence
         _take(state, flow, now)
     elif flow.is_open:
         return DropPacket(reason="late_copy")
@@ -122,15 +142,18 @@
     return Forward(
         address=identity.address,
         label=flow.upstream.label,
-        token=flow_token(identity),
+        token=provisional_token(identity),
     )
 
 
-def _refuse(state: TokenRelayState, now: float) -> PacketDecision:
+def _refuse(state: TokenRelayState, packet: FlowPacket, now: float) -> PacketDecision:
     """Refuse a flow at once; the caller may then try again elsewhere.
 
     Control replicas that have just started hear of upstreams one after the other.
+    Another entry may have opened the flow of a copy whose first did not come here.
     """
+    if packet.copy:
+        return DropPacket(reason="no_upstream_for_copy")
     known_from = state.upstreams_from
     gathering = GATHERING_ANNOUNCEMENTS * state.announcement_seconds
     if known_from is None or now - known_from < gathering:
@@ -163,11 +186,12 @@
         if not state.has_newest_routing():
             return DropPacket(reason="routing_behind")
         return _reset_unheld(packet, "route_removed")
-    record = state.tokens.get(packet.token)
+    if is_provisional(packet.token) and not _opens(flow, packet):
+        return DropPacket(reason="provisional_token")
+    token = packet.token & ~PROVISIONAL
+    record = state.tokens.get(token)
     if record is None:
-        if packet.token in state.ended_tokens:
-            return _reset_unheld(packet, "upstream_ended")
-        return DropPacket(reason="unknown_token")
+        return _relay_to_ended(state, packet, services, now)
     if record.identity.service not in services:
         return DropPacket(reason="foreign_token")
     if flow is None:
@@ -178,11 +202,33 @@
         _release(state, flow)
         flow.upstream = record
         _open(state, flow, now)
-    flow.token = packet.token
+    flow.token = token
     state.load_of(record).flows += 1
     return flow
 
 
+def _opens(flow: TokenFlow | None, packet: FlowPacket) -> bool:
+    """Tell whether a packet is the first after the opening packet that came here."""
+    if flow is None or flow.opening is None:
+        return False
+    return (packet.sequence - flow.opening) % NUMBER_SPACE <= 1
+
+
+def _relay_to_ended(
+    state: TokenRelayState, packet: FlowPacket, services: frozenset[str], now: float
+) -> PacketDecision:
+    """Relay a packet by the token of an upstream that is not known to be alive."""
+    ended = state.ended.get(packet.token & ~PROVISIONAL)
+    if ended is None:
+        return DropPacket(reason="unknown_token")
+    if now - ended.at > ENDING_SECONDS:
+        return _reset_unheld(packet, "upstream_ended")
+    identity = ended.record.identity
+    if identity.service not in services:
+        return DropPacket(reason="foreign_token")
+    return Forward(address=identity.address, label=ended.record.label, token=None)
+
+
 def _open(state: TokenRelayState, flow: TokenFlow, now: float) -> None:
     """Take note that the upstream has answered the opening packet of this entry."""
     flow.is_open = True
@@ -194,9 +240,7 @@
     state: TokenRelayState, flow: TokenFlow, packet: FlowPacket, now: float
 ) -> None:
     """Follow the requests in flight by the caller's half of the flow."""
-    flow.quiet_seconds = now - flow.seen_at
     flow.seen_at = now
-    flow.acknowledged = packet.acknowledged
     load = state.load_of(flow.upstream)
     if flow.busy_since is not None and is_after(
         packet.acknowledged, flow.answered_up_to
@@ -248,8 +292,8 @@
     current = state.registry.records.get(address)
     if current is not None and current.identity.incarnation == incarnation:
         return False
-    ended_at = state.ended_tokens.get(flow_token(flow.upstream.identity))
-    return ended_at is not None and now - ended_at > ENDING_SECONDS
+    ended = state.ended.get(flow_token(flow.upstream.identity))
+    return ended is not None and now - ended.at > ENDING_SECONDS
 
 
 def _end_flow(
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from .histograms import Histogram
 from .registry import UpstreamRegistry
 from .routing import Endpoint, Route, Routing
@@ -13,18 +15,16 @@
 class TokenFlow:
     """A flow that this entry relays; times are in seconds of the entry's clock.
 
-    ``known_from`` is when this entry saw its first packet. ``seen_at`` is when the last
-    one came, ``quiet_seconds`` the time between the last two. ``sent_at`` is when the
-    opening packet was last sent on. ``busy_since`` is when
-    the request that is not yet answered began, None while there is none;
-    ``answered_up_to`` is what the caller had acknowledged then, ``acknowledged`` what
-    it has by now. ``highest`` is the end of the bytes that the caller has sent.
-    ``token`` is that of the upstream once the flow is open, 0 before.
-    ``tried`` holds the upstreams that did not answer the opening packet.
+    ``known_from`` is when this entry saw its first packet, ``seen_at`` when the last
+    one came. ``sent_at`` is when the opening packet was last sent on, ``opening`` its
+    sequence, None if this entry has not seen it. ``tried`` holds the upstreams that
+    did not answer it. ``token`` is that of the upstream once the flow is open, 0
+    before. ``busy_since`` is when the request that is not yet answered began, None
+    while there is none; ``answered_up_to`` is what the caller had acknowledged then.
+    ``highest`` is the end of the bytes that the caller has sent.
     """
 
     __slots__ = (
-        "acknowledged",
         "answered_up_to",
         "began_at",
         "busy_since",
@@ -32,7 +32,7 @@
         "is_closing",
         "is_open",
         "known_from",
-        "quiet_seconds",
+        "opening",
         "seen_at",
         "sent_at",
         "service",
@@ -45,14 +45,13 @@
         self.upstream = upstream
         self.service = service
         self.token = 0
+        self.opening: int | None = None
         self.is_open = False
         self.is_closing = False
         self.known_from = now
-        self.quiet_seconds = 0.0
         self.seen_at = now
         self.sent_at = now
         self.busy_since: float | None = None
-        self.acknowledged = 0
         self.answered_up_to = 0
         self.highest = 0
         self.began_at = 0
@@ -109,13 +108,20 @@
         self.addresses: set[Address] = set()
 
 
+class EndedUpstream(NamedTuple):
+    """The last record of an upstream and when its end was first told, in seconds."""
+
+    record: UpstreamRecord
+    at: float
+
+
 class TokenRelayState:
     """The routes, upstreams and flows of one entry.
 
     ``routing_told`` is the newest version of the routing table that a control replica
     has told of; it may be on its way still. ``services_of`` holds all services that a
     route has led to, since a new configuration leaves open flows where they are.
-    ``ended_tokens`` tells when an upstream ended whose token may still be in packets.
+    ``ended`` holds the upstreams that have ended, by token: it may still be in packets.
     ``unproven`` holds the sequence above which an upstream of a data centre that is
     back in service has to announce itself before it counts as warm.
     ``upstreams_from`` is when the first upstreams became known. ``silences`` holds the
@@ -138,7 +144,7 @@
         self.registry = UpstreamRegistry()
         self.upstreams_from: float | None = None
         self.tokens: dict[int, UpstreamRecord] = {}
-        self.ended_tokens: dict[int, float] = {}
+        self.ended: dict[int, EndedUpstream] = {}
         self.eligible: dict[str, tuple[UpstreamRecord, ...]] = {}
         self.unproven: dict[Address, int] = {}
         self.loads: dict[Address, UpstreamLoad] = {}
