--- a/src/chervilstage/platform/packets.py
+++ b/src/chervilstage/platform/packets.py
@@ -51,6 +51,8 @@
         acknowledged=acknowledged,
         size=size,
         token=token,
+        # The acknowledgement of an opening packet counts its copies.
+        copy=acknowledged if flags & FLAG_SYN else 0,
     )
 
 
--- /dev/null
+++ b/testing/coordination/test_flow_evidence.py
@@ -0,0 +1,125 @@
+"""What a relay of flows by token may take a packet or an announcement for."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Equals, IsInstance, Not
+
+from chervilstage.coordination.flow_tokens import flow_token
+from chervilstage.coordination.relay_directory import FORGOTTEN_SECONDS, forget_old
+from chervilstage.state.flow_packets import Forward, ResetFlow
+from testing.support.token_relays import RelayDriver, make_record
+
+
+class EarlySignsTests(TestCase):
+    """Signs of an end or of a lost opening that are no proof yet."""
+
+    def test_another_entry_waits_as_long_after_an_end(self) -> None:
+        """Guards against a reset while the upstream answers what it has in hand."""
+        holds, other = (RelayDriver(records=[make_record(1)]) for _ in range(2))
+        opened = holds.open(40_001)
+        for relay in (holds, other):
+            relay.hear(make_record(1), gone=True)
+            relay.now += 0.1
+            later = relay.send(40_001, token=opened.token or 0, size=10)
+            self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+    def test_a_copy_whose_first_went_elsewhere_is_not_refused(self) -> None:
+        """Guards against a reset of a flow that another entry has opened meanwhile."""
+        relay = RelayDriver(records=[make_record(1, cold_seconds=9.0)], name="entry-2")
+        relay.state.entries = ("entry-1", "entry-2")
+        copies = [
+            relay.send(40_001 + number, opening=True, copy=1) for number in range(2)
+        ]
+        self.assertThat([c for c in copies if isinstance(c, ResetFlow)], Equals([]))
+
+    def test_a_run_that_is_heard_after_its_end_has_not_ended(self) -> None:
+        """Guards against an end that was told wrongly and counts after a silence."""
+        relay = RelayDriver(records=[make_record(1)])
+        opened = relay.open(40_001)
+        relay.hear(make_record(1), gone=True)
+        relay.hear(make_record(1, sequence=2))
+        relay.now += FORGOTTEN_SECONDS + 1.0
+        forget_old(relay.state, relay.now)
+        later = relay.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+
+class RequestsOfHighSequencesTests(TestCase):
+    """Callers begin to count their bytes anywhere in the number space."""
+
+    def test_a_request_counts_whatever_the_caller_began_to_count_at(self) -> None:
+        """Guards against upstreams that look free while they have requests."""
+        for first in (1, (1 << 31) + 5):
+            relay = RelayDriver(records=[make_record(1)])
+            opening = relay.send(40_001, opening=True, sequence=first)
+            relay.send(40_001, token=opening.token or 0, sequence=first)
+            relay.send(40_001, token=opening.token or 0, sequence=first, size=100)
+            load = relay.state.load_of(make_record(1))
+            self.assertThat((first, load.in_flight), Equals((first, 1)))
+
+
+class SecondAnswersTests(TestCase):
+    """Two upstreams that answer copies of one opening packet."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.records = [make_record(1), make_record(2)]
+        self.first = RelayDriver(records=self.records)
+        self.other = RelayDriver(records=self.records, name="entry-2")
+
+    def test_the_token_of_a_half_open_upstream_moves_no_flow_at_other_entries(
+        self,
+    ) -> None:
+        """Guards against the repeated answer of an upstream that the flow is not at."""
+        for caller, place in ((40_001, 0), (40_002, 1)):
+            copies = [self.first.send(caller, opening=True)]
+            self.first.now += 0.2
+            copies.append(self.first.send(caller, opening=True, copy=1))
+            self.assertThat(copies[0].label, Not(Equals(copies[1].label)))
+            opened, half_open = copies[place], copies[1 - place]
+            held = self.first.send(caller, token=opened.token or 0)
+            self.assertThat(held.label, Equals(opened.label))
+            later = self.other.send(
+                caller, token=half_open.token or 0, sequence=5_000, size=100
+            )
+            label = getattr(later, "label", None)
+            self.assertThat(label, Not(Equals(half_open.label)))
+
+    def test_an_entry_that_saw_a_late_copy_does_not_take_the_flow_for_opened_there(
+        self,
+    ) -> None:
+        """Guards against a flow that went on elsewhere and comes by another token."""
+        label = self.first.open(40_001).label
+        late = self.other.send(40_001, opening=True, sequence=1, copy=1)
+        while late.label == label:
+            self.other.now += 0.2
+            late = self.other.send(40_001, opening=True, sequence=1, copy=2)
+        later = self.other.send(40_001, token=late.token or 0, sequence=5_000, size=100)
+        self.assertThat(getattr(later, "label", None), Not(Equals(late.label)))
+
+
+class UsedAgainTests(TestCase):
+    """A caller's address and port that are used again for another flow."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.relay = RelayDriver(records=[make_record(1), make_record(2)])
+        self.opened = self.relay.open(40_001)
+        self.relay.send(40_001, token=self.opened.token or 0, sequence=1, size=100)
+        self.relay.now += 5.0
+
+    def test_a_new_flow_of_a_used_port_is_not_a_late_copy(self) -> None:
+        """Guards against new flows that are dropped for the idle time of an old one."""
+        opening = self.relay.send(40_001, opening=True, sequence=1 << 30)
+        self.assertThat(opening, IsInstance(Forward))
+
+    def test_an_old_flow_does_not_draw_the_packets_of_a_new_one(self) -> None:
+        """Guards against packets of another entry's flow at the wrong upstream."""
+        other = 3 - self.opened.label
+        token = flow_token(make_record(other).identity)
+        packet = self.relay.send(
+            40_001, token=token, sequence=1 << 30, acknowledged=1 << 29, size=10
+        )
+        self.assertThat(packet, IsInstance(Forward))
+        self.assertThat(packet.label, Equals(other))
