Relay no opening packet whose caller has given up

What callers saw: an entry that had stood still relayed the opening packets that waited in its socket. A second upstream could answer a caller whose flow was open at another one, and repeat its answer for ten seconds.

Cause: the entry took the time of reading for the time of arrival. An opening packet that may have waited longer than its caller (1.4 s after the first one, less for the copies) is dropped as attempt_over.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -33,6 +33,10 @@
 # Callers repeat an opening packet after 200 ms; copies that arrive closer together
 # were held up on the way and say nothing of the upstream.
 COPY_SECONDS = 0.12
+# When callers send an opening packet and its copies, and when they give it up; nobody
+# waits for the answer to one that comes later.
+SENT_SECONDS = (0.0, 0.2, 0.6)
+ATTEMPT_SECONDS = 1.4
 # An answer to an opening packet takes a few milliseconds; data that is repeated after
 # this time is a sign of silence unless another flow there has been answered.
 STALL_SECONDS = 0.35
@@ -53,10 +57,19 @@
 
 
 def relay_packet(
-    state: TokenRelayState, packet: FlowPacket, now: float, rng: Random
+    state: TokenRelayState,
+    packet: FlowPacket,
+    now: float,
+    rng: Random,
+    waited: float = 0.0,
 ) -> PacketDecision:
-    """Decide where a caller's packet goes."""
+    """Decide where a caller's packet goes.
+
+    :param waited: the seconds that the packet may have waited at this entry.
+    """
     if packet.is_opening:
+        if waited > _patience(packet):
+            return DropPacket(reason="attempt_over")
         return _open_flow(state, packet, now, rng)
     key = packet.caller + packet.front
     flow = _held_flow(state, key, packet)
@@ -80,6 +93,12 @@
     )
 
 
+def _patience(packet: FlowPacket) -> float:
+    """Return the seconds after an opening packet in which its caller waits on."""
+    last = len(SENT_SECONDS) - 1
+    return ATTEMPT_SECONDS - SENT_SECONDS[min(packet.copy, last)]
+
+
 def _held_flow(
     state: TokenRelayState, key: bytes, packet: FlowPacket
 ) -> TokenFlow | None:
--- a/src/chervilstage/transport/datagrams.py
+++ b/src/chervilstage/transport/datagrams.py
@@ -33,11 +33,17 @@
     return Address(host=host, port=port)
 
 
-async def receive_datagrams(sock: socket.socket, handler: DatagramHandler) -> None:
+async def receive_datagrams(
+    sock: socket.socket,
+    handler: DatagramHandler,
+    note_drained: Callable[[], None] | None = None,
+) -> None:
     """Pass each datagram to the handler until cancelled or the socket is closed.
 
     After a full batch the loop gives other tasks their turn. At a planned stop the
     socket may be closed before this task is cancelled.
+
+    :param note_drained: called whenever no datagram waits any more.
     """
     receive = sock.recvfrom
     while sock.fileno() != CLOSED:
@@ -47,7 +53,8 @@
                 data, sender = receive(MAXIMUM_DATAGRAM_BYTES)
                 handler(data, sender)
         except BlockingIOError:
-            continue
+            if note_drained is not None:
+                note_drained()
         except ConnectionRefusedError:
             # Linux reports an ICMP error of an earlier send on the next receive.
             continue
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -20,6 +20,7 @@
 from ..state.token_flows import TokenRelayState
 from ..state.types import Address
 from .application import Hooks
+from .arrival_bound import ArrivalBound
 from .clock import replica_clock
 from .datagrams import open_datagram_socket, receive_datagrams, send_datagram
 from .relay_log import RelayLog
@@ -53,11 +54,12 @@
     reset: Callable[[Endpoint, Endpoint, int], tuple[bytes, tuple[str, int]]]
 
 
-class HeldDatagram(NamedTuple):
-    """A datagram that waits for the directory, and when it came."""
+class ReceivedDatagram(NamedTuple):
+    """A datagram, when it was read, and how long it may have waited before."""
 
     data: bytes
     at: float
+    waited_seconds: float
 
 
 class TokenRelay:
@@ -79,9 +81,10 @@
         self.counters = counters
         self.rng = Random()
         self.log = RelayLog(counters=counters)
-        self.held: deque[HeldDatagram] = deque(maxlen=HELD_PACKETS)
+        self.held: deque[ReceivedDatagram] = deque(maxlen=HELD_PACKETS)
         self.received_at = replica_clock()
         self.sock = open_datagram_socket(*address)
+        self.arrivals = ArrivalBound(now=self.received_at)
 
     def receive(self, data: bytes, sender: tuple[str, int]) -> None:
         """Relay one datagram."""
@@ -93,27 +96,29 @@
             self.counters.add("packets_refused", error.code)
             self.log.refused(sender, error, now)
             return
-        self.relay(data, packet, now, received_at=now)
+        waited = self.arrivals.longest_wait(now)
+        self.relay(
+            ReceivedDatagram(data=data, at=now, waited_seconds=waited), packet, now
+        )
 
-    def relay(
-        self, data: bytes, packet: FlowPacket, now: float, received_at: float
-    ) -> None:
+    def relay(self, datagram: ReceivedDatagram, packet: FlowPacket, now: float) -> None:
         """Carry out the decision on a packet, or hold it for what it lacks."""
-        decision = relay_packet(self.state, packet, now, self.rng)
+        waited = datagram.waited_seconds + now - datagram.at
+        decision = relay_packet(self.state, packet, now, self.rng, waited)
         if isinstance(decision, Forward):
-            out = self.codec.forward(data, decision.label, decision.token)
+            out = self.codec.forward(datagram.data, decision.label, decision.token)
             if not send_datagram(self.sock, out, decision.address):
                 self.counters.add("packets_unsent", "upstream")
         elif isinstance(decision, ResetFlow):
             self.reset(packet.caller, packet.front, decision)
         elif decision.reason in HELD_REASONS:
-            self.hold(HeldDatagram(data=data, at=received_at))
+            self.hold(datagram)
             return
         else:
             self.counters.add("packets_dropped", decision.reason)
         self.note(packet, decision, now)
 
-    def hold(self, datagram: HeldDatagram) -> None:
+    def hold(self, datagram: ReceivedDatagram) -> None:
         """Keep a datagram for a moment; the oldest one gives way."""
         if len(self.held) == HELD_PACKETS:
             self.counters.add("packets_dropped", "hold_buffer_full")
@@ -159,14 +164,20 @@
                 self.counters.add("packets_dropped", "held_too_long")
             else:
                 packet = self.codec.decode(held.data)
-                self.relay(held.data, packet, now, received_at=held.at)
+                self.relay(held, packet, now)
 
     async def watch_lateness(self) -> None:
         """Note how late timers run until cancelled."""
         while True:
             due = replica_clock() + LATENESS_CHECK_SECONDS
             await anyio.sleep(LATENESS_CHECK_SECONDS)
-            self.log.lateness.note(due, replica_clock())
+            now = replica_clock()
+            self.log.lateness.note(due, now)
+            self.arrivals.note_timer(due, now)
+
+    def note_drained(self) -> None:
+        """Take note that no datagram waits in the socket."""
+        self.arrivals.note_drained(replica_clock())
 
     async def sweep(self) -> None:
         """Forget old flows and upstreams until cancelled."""
@@ -180,7 +191,7 @@
 
     async def start(self, group: TaskGroup) -> None:
         """Begin to relay."""
-        group.start_soon(receive_datagrams, self.sock, self.receive)
+        group.start_soon(receive_datagrams, self.sock, self.receive, self.note_drained)
         group.start_soon(self.sweep)
         group.start_soon(self.watch_lateness)
 
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -7,7 +7,7 @@
 
 from chervilstage.coordination.flow_tokens import flow_token
 from chervilstage.coordination.relay_directory import FORGOTTEN_SECONDS, forget_old
-from chervilstage.state.flow_packets import Forward, ResetFlow
+from chervilstage.state.flow_packets import DropPacket, Forward, ResetFlow
 from testing.support.token_relays import RelayDriver, make_record
 
 
@@ -33,6 +33,15 @@
         ]
         self.assertThat([c for c in copies if isinstance(c, ResetFlow)], Equals([]))
 
+    def test_an_opening_packet_of_a_caller_that_gave_up_is_not_relayed(self) -> None:
+        """Guards against a second answer to a caller whose flow is open elsewhere."""
+        for copy, patience in ((0, 1.4), (1, 1.2), (2, 0.8)):
+            relay = RelayDriver(records=[make_record(1)])
+            late = relay.send(40_001, opening=True, copy=copy, waited=patience + 0.1)
+            self.assertThat(late, Equals(DropPacket(reason="attempt_over")))
+            timely = relay.send(40_001, opening=True, copy=copy, waited=patience - 0.1)
+            self.assertThat(timely, IsInstance(Forward))
+
     def test_a_run_that_is_heard_after_its_end_has_not_ended(self) -> None:
         """Guards against an end that was told wrongly and counts after a silence."""
         relay = RelayDriver(records=[make_record(1)])
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -138,8 +138,12 @@
         size: int = 0,
         front: Address = FRONT,
         copy: int = 0,
+        waited: float = 0.0,
     ) -> PacketDecision:
-        """Send a packet of a caller, named by its port."""
+        """Send a packet of a caller, named by its port.
+
+        :param waited: the seconds that it waited at the entry.
+        """
         packet = FlowPacket(
             caller=endpoint_of(Address(host="100.64.0.1", port=caller)),
             front=endpoint_of(front),
@@ -152,7 +156,7 @@
             token=token,
             copy=copy,
         )
-        return relay_packet(self.state, packet, self.now, self.rng)
+        return relay_packet(self.state, packet, self.now, self.rng, waited)
 
     def open(self, caller: int) -> Forward:
         """Open a flow at the upstream that the relay chooses."""
