Show that a late leave call without a body ends a later run

A control daemon that handles the call of an earlier run late, after a freeze, ends the newest run of that id, and entries reset its open flows 0.3 s later.

The test fails on this code: the later run is gone from the registry.

--- a/testing/platform/test_control_calls.py
+++ b/testing/platform/test_control_calls.py
@@ -13,6 +13,7 @@
 from chervilstage.coordination.upstream_feed import take_record
 from chervilstage.platform.control_calls import ControlCalls
 from chervilstage.state.counters import Counters
+from chervilstage.state.types import UpstreamPhase
 from chervilstage.state.upstream_feed import UpstreamFeed
 from chervilstage.transport.change_calls import ChangeCalls
 from chervilstage.transport.clock import replica_clock
@@ -82,3 +83,35 @@
 
     anyio.run(main)
     assert list(server.feed.registry.records.values()) == [again]
+
+
+def test_a_late_leave_without_a_body_does_not_end_a_later_run_of_its_id(
+    tmp_path: Path,
+) -> None:
+    """Guards against the flows of a target that was started again under its id."""
+    server = FeedServer(
+        feed=UpstreamFeed(run=1),
+        driver=cast(Any, SimpleNamespace(replica=None)),
+        frames=cast(Any, SimpleNamespace(serve=lambda kind, handler: None)),
+        services_of=lambda document: frozenset({SERVICE}),
+        store=UpstreamStore(folder=tmp_path),
+    )
+    calls = ControlCalls(
+        changes=cast(ChangeCalls, None),
+        feed=server,
+        data_centres=frozenset(),
+        counters=Counters(),
+    )
+    ends = make_record(1, incarnation=1_000, phase=UpstreamPhase.LEAVING)
+    again = make_record(1, incarnation=2_000)
+    for record in (ends, again):
+        take_record(server.feed, record, replica_clock())
+    leave = HttpRequest(
+        method="POST", target="/instances/i-1/leave", headers={}, body=b""
+    )
+
+    async def main() -> None:
+        await calls.answer(leave)
+
+    anyio.run(main)
+    assert list(server.feed.registry.records.values()) == [again]
