Show that a late answer to the first copy moves a flow that another entry opened

An entry that saw the first copy of an opening packet relays each packet of the first window by whatever provisional token it carries. Where the platform moved the second copy to another entry and that one opened the flow, a late answer to the first copy makes this entry send data to an upstream that has no such flow, which answers with a reset.

The test fails on this code.

--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -140,3 +140,31 @@
         )
         self.assertThat(packet, IsInstance(Forward))
         self.assertThat(packet.label, Equals(other))
+
+
+class OpenedElsewhereTests(TestCase):
+    """An opening packet that came here and a flow that opened through another entry."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.records = [make_record(1), make_record(2)]
+        self.first = RelayDriver(records=self.records[:1])
+        self.other = RelayDriver(records=self.records[1:], name="entry-2")
+        self.answer_here = self.first.send(40_001, opening=True, sequence=1)
+        self.first.now += 0.2
+        self.other.now += 0.2
+        self.answer_there = self.other.send(40_001, opening=True, sequence=1, copy=1)
+        self.first.hear(*self.records)
+        self.other.hear(*self.records)
+
+    def test_a_late_answer_to_the_first_copy_moves_no_flow_opened_by_the_second(
+        self,
+    ) -> None:
+        """Guards against packets at an upstream that answered but got no flow."""
+        opened = self.other.send(40_001, token=self.answer_there.token, sequence=2)
+        self.assertThat(opened.label, Equals(2))
+        self.first.now += 0.3
+        later = self.first.send(
+            40_001, token=self.answer_here.token, sequence=2, size=100
+        )
+        self.assertThat(getattr(later, "label", None), Not(Equals(1)))
