Show that an answer to the second copy moves a flow that another entry opened

An entry that saw only a later copy of an opening packet takes a packet at the first byte for the end of the handshake. A caller sends its first request, and repeats it, at that byte too. Where the first copy opened the flow through another entry, the token of the second answer then leads to an upstream that has no such flow.

--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -168,3 +168,15 @@
             40_001, token=self.answer_here.token, sequence=2, size=100
         )
         self.assertThat(getattr(later, "label", None), Not(Equals(1)))
+
+    def test_an_answer_to_the_second_copy_moves_no_flow_opened_by_the_first(
+        self,
+    ) -> None:
+        """Guards against a repeated first request at an upstream that got no flow."""
+        opened = self.first.send(40_001, token=self.answer_here.token, sequence=2)
+        self.assertThat(opened.label, Equals(1))
+        self.other.now += 0.3
+        later = self.other.send(
+            40_001, token=self.answer_there.token, sequence=2, size=100
+        )
+        self.assertThat(getattr(later, "label", None), Not(Equals(2)))
