--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -180,3 +180,14 @@
             40_001, token=self.answer_there.token, sequence=2, size=100
         )
         self.assertThat(getattr(later, "label", None), Not(Equals(2)))
+
+    def test_the_end_of_an_upstream_that_got_no_flow_closes_none(self) -> None:
+        """Guards against a reset by the end of an upstream that answered too late."""
+        opened = self.other.send(40_001, token=self.answer_there.token, sequence=2)
+        self.assertThat(opened.label, Equals(2))
+        self.first.hear(make_record(1), gone=True)
+        self.first.now += 0.5
+        later = self.first.send(
+            40_001, token=self.answer_here.token, sequence=2, size=100
+        )
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
