--- /dev/null
+++ b/testing/transport/test_small_disks.py
@@ -0,0 +1,69 @@
+"""Disks that hold a few hundred large routing tables, as on the users' platform."""
+
+from __future__ import annotations
+
+import errno
+import os
+from pathlib import Path
+
+import anyio
+
+from chervilstage.state.configuration import Change, RoutingDocument
+from testing.support.disk_cell import DiskCell
+from testing.support.full_disks import WRITE, FullDisk, refusing
+
+# A platform's disk has 128 MB, an entry with 1,640 routes takes 0.45 MB; both by 100.
+DISK_BYTES = 1_280_000
+TABLE_BYTES = 4_500
+ACKNOWLEDGED_SECONDS = 4.5
+
+
+class SmallDisk(FullDisk):
+    """Takes no more bytes once the files of its folder have as many as it holds."""
+
+    def take(self, kind: str) -> None:
+        """Do an operation.
+
+        :raises OSError: it is refused.
+        """
+        super().take(kind)
+        if kind != WRITE:
+            return
+        if sum(path.stat().st_size for path in self.folder.iterdir()) >= DISK_BYTES:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
+def make_cell(folder: Path) -> DiskCell:
+    """Return a cell of one replica on a small disk."""
+    cell = DiskCell(folder=folder, count=1, size=1, seed=1)
+    cell.disks = [SmallDisk(folder=disk.folder) for disk in cell.disks]
+    return cell
+
+
+def make_table(version: int) -> Change:
+    """Return a change that publishes a large routing table."""
+    content = f"{version:0{TABLE_BYTES}}".encode()
+    change = Change(operation_id=f"v{version}", operator="maria", base_revision=None)
+    return change._replace(routing=RoutingDocument(version=version, content=content))
+
+
+async def publish(cell: DiskCell, first: int, last: int) -> None:
+    """Publish tables one after the other until one is refused."""
+    for version in range(first, last + 1):
+        if not cell.refused:
+            await cell.order(make_table(version), ACKNOWLEDGED_SECONDS)
+
+
+def test_hundreds_of_large_changes_fit_on_the_disk(tmp_path: Path) -> None:
+    """Guards against a log that fills its own disk before the first snapshot."""
+    cell = make_cell(tmp_path)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            await cell.start(group)
+            await publish(cell, 1, 400)
+            group.cancel_scope.cancel()
+
+    with refusing(cell.disks):
+        anyio.run(main)
+    assert cell.refused == []
