Show that a replica with a log of half its disk never takes part again

Once its log takes more than half of the disk, that never fits, although the disk has room for appends again.

The test fails on this code: the change after the full disk is refused.

--- a/testing/transport/test_small_disks.py
+++ b/testing/transport/test_small_disks.py
@@ -16,6 +16,7 @@
 DISK_BYTES = 1_280_000
 TABLE_BYTES = 4_500
 ACKNOWLEDGED_SECONDS = 4.5
+FULL_SECONDS = 0.5
 
 
 class SmallDisk(FullDisk):
@@ -67,3 +68,25 @@
     with refusing(cell.disks):
         anyio.run(main)
     assert cell.refused == []
+
+
+def test_a_replica_takes_part_again_although_its_log_fills_half_of_the_disk(
+    tmp_path: Path,
+) -> None:
+    """Guards against a state that is saved anew beside the old one without room."""
+    cell = make_cell(tmp_path)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            await cell.start(group)
+            await publish(cell, 1, 160)
+            cell.disks[0].fill({WRITE})
+            group.start_soon(publish, cell, 161, 161)
+            await anyio.sleep(FULL_SECONDS)
+            cell.disks[0].free()
+            await publish(cell, 162, 165)
+            group.cancel_scope.cancel()
+
+    with refusing(cell.disks):
+        anyio.run(main)
+    assert cell.refused == []
