--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -8,6 +8,7 @@
 from chervilstage.coordination.flow_tokens import flow_token
 from chervilstage.coordination.relay_directory import FORGOTTEN_SECONDS, forget_old
 from chervilstage.state.flow_packets import DropPacket, Forward, ResetFlow
+from chervilstage.state.types import Address
 from testing.support.token_relays import RelayDriver, make_record
 
 
@@ -33,6 +34,13 @@
         ]
         self.assertThat([c for c in copies if isinstance(c, ResetFlow)], Equals([]))
 
+    def test_a_copy_on_a_route_that_is_not_known_yet_is_not_refused(self) -> None:
+        """Guards against a reset of a flow that an entry with a newer table opened."""
+        relay = RelayDriver(records=[make_record(1)])
+        added = Address(host="198.18.0.9", port=443)
+        copy = relay.send(40_001, opening=True, copy=1, front=added)
+        self.assertThat(copy, Not(IsInstance(ResetFlow)))
+
     def test_an_opening_packet_of_a_caller_that_gave_up_is_not_relayed(self) -> None:
         """Guards against a second answer to a caller whose flow is open elsewhere."""
         for copy, patience in ((0, 1.4), (1, 1.2), (2, 0.8)):
