--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -150,6 +150,16 @@
         decode_heartbeat("i-7f3a91c2", encode(document))
 
 
+@pytest.mark.parametrize("version", [None, 1, True])
+def test_a_heartbeat_without_a_version_names_no_target(version: object) -> None:
+    """Guards against another writer whose start closes the flows of an address."""
+    document = {**HEARTBEAT, "Version": version}
+    if version is None:
+        del document["Version"]
+    with pytest.raises(AnnouncementError):
+        decode_heartbeat("i-7f3a91c2", encode(document))
+
+
 @pytest.mark.parametrize(
     "changes",
     [
