End no run of an upstream by a leave call that may speak of an earlier one

What callers saw: flows of an upstream that had started again under its id were reset when a control daemon handled the leave call of the earlier run late.

Cause: the platform's leave call has no body, so it does not say which run ends, and the newest run of the id was taken.

Change: a call that names no run ends the newest run only if that has announced that it leaves, as every upstream does before it ends. Otherwise it is acknowledged and logged as departure_not_announced.

--- a/src/chervilstage/transport/feed_server.py
+++ b/src/chervilstage/transport/feed_server.py
@@ -126,12 +126,18 @@
     async def depart(self, label: int, incarnation: int | None = None) -> None:
         """Take note that an upstream has ended; one that is not known is no error.
 
+        A call that names no run may come late and speak of an earlier one, so it ends
+        the newest run only if that has said that it leaves.
+
         :param incarnation: the run that has ended, the newest one if left out.
         """
         record = find_label(self.feed, label, incarnation)
         if record is None:
             log_event("departure_of_unknown", level=logging.WARNING, label=label)
             return
+        if incarnation is None and not is_leaving(record):
+            log_event("departure_not_announced", level=logging.WARNING, **_shown(record))
+            return
         take_departure(self.feed, record, replica_clock())
         log_event("upstream_gone", **_shown(record))
         self.notify()
