Take a heartbeat without a version of the software for one of another writer

What callers saw: flows of a target could be reset because of a document that another writer sent: with a later start at the target's address it counts as the end of the target there.

Cause: Version was never read, so that a heartbeat without it, or with one that is no text, passed for whole.

--- a/src/chervilstage/platform/documents.py
+++ b/src/chervilstage/platform/documents.py
@@ -137,6 +137,7 @@
 
 def _record(label: int, document: dict[str, Any]) -> UpstreamRecord:
     """Return a target's record; ``born`` is when it started."""
+    _text(document["Version"])  # That of its software, which is not used.
     address = parse_address(_text(document["Address"]))
     slots = _count(document["Slots"])
     if not 0 < slots <= MAXIMUM_SLOTS:
@@ -169,10 +170,9 @@
 
 
 def _count(value: Any) -> int:
-    is_count = isinstance(value, int) and not isinstance(value, bool)
-    if not is_count or not 0 <= value < COUNT_LIMIT:
+    if type(value) is not int or not 0 <= value < COUNT_LIMIT:
         raise FieldError(value=value, reason="no whole number from 0")
-    return int(value)
+    return value
 
 
 def _number(value: Any) -> float:
