Refuse no flow by a copy of its opening packet on a route that is not known yet

What callers saw: a flow on a route that was just added could be reset by an entry that had not heard of the route, though an entry with the newer table had opened it by the first copy.

The first copy is still refused at once.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -141,6 +141,8 @@
             return DropPacket(reason="no_routing")
         if not state.has_newest_routing():
             return DropPacket(reason="routing_behind")
+        if packet.copy:
+            return DropPacket(reason="no_route_for_copy")
         return ResetFlow(sequence=0, reason="no_route")
     key = packet.caller + packet.front
     flow = _held_flow(state, key, packet)
