Close no flow because an upstream that answered its opening packet has ended

What callers saw: an open flow was reset at an entry that had seen its opening packet but not where it opened, once the upstream that this entry had tried ended.

Cause: the provisional token of that upstream, from an answer that came too late, counted as the token of the flow. A provisional token names an upstream that may have answered, not the one that has the flow, so its end closes nothing.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -249,6 +249,8 @@
     if ended is None:
         return DropPacket(reason="unknown_token")
     if now - ended.at > ENDING_SECONDS:
+        if is_provisional(packet.token):
+            return DropPacket(reason="provisional_token")
         return _reset_unheld(packet, "upstream_ended")
     identity = ended.record.identity
     if identity.service not in services:
