Open a flow by a provisional token only until the next copy of its opening packet is due

What callers saw: where the fabric moved a second copy of an opening packet to another entry, and that one opened the flow, a late answer to the first copy made the entry of the first copy send data to an upstream that had no such flow and answered with a reset.

Cause: any packet of the first window opened a flow here, however long after the opening packet. A caller without an answer sends the next copy 0.2 or 0.4 s later; where that does not come here, the flow may have opened elsewhere.

Change: a provisional token opens a flow up to the time of the next copy and of one repetition of the first data. The time that packets waited while the entry stood still is left out, so that its callers need not wait.

Open: an entry that saw only the second copy still takes a repeated first request by the answer to it.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -33,10 +33,11 @@
 # Callers repeat an opening packet after 200 ms; copies that arrive closer together
 # were held up on the way and say nothing of the upstream.
 COPY_SECONDS = 0.12
-# When callers send an opening packet and its copies, and when they give it up; nobody
-# waits for the answer to one that comes later.
-SENT_SECONDS = (0.0, 0.2, 0.6)
-ATTEMPT_SECONDS = 1.4
+# When callers send an opening packet and its copies, and, last, when they give it up.
+ATTEMPT_SECONDS = (0.0, 0.2, 0.6, 1.4)
+LATEST_COPY = 2
+# Callers repeat their first data for the first time after 200 ms.
+REPEATED_SECONDS = 0.25
 # An answer to an opening packet takes a few milliseconds; data that is repeated after
 # this time is a sign of silence unless another flow there has been answered.
 STALL_SECONDS = 0.35
@@ -75,6 +76,8 @@
     flow = _held_flow(state, key, packet)
     is_found = flow is None
     if flow is None or not flow.is_open:
+        if is_provisional(packet.token) and not _opens(flow, packet, now - waited):
+            return DropPacket(reason="provisional_token")
         found = _flow_of_token(state, packet, flow, now)
         if not isinstance(found, TokenFlow):
             return found
@@ -95,8 +98,13 @@
 
 def _patience(packet: FlowPacket) -> float:
     """Return the seconds after an opening packet in which its caller waits on."""
-    last = len(SENT_SECONDS) - 1
-    return ATTEMPT_SECONDS - SENT_SECONDS[min(packet.copy, last)]
+    return ATTEMPT_SECONDS[-1] - ATTEMPT_SECONDS[min(packet.copy, LATEST_COPY)]
+
+
+def _until_next_copy(flow: TokenFlow) -> float:
+    """Return the seconds from the latest copy seen here to when one is due again."""
+    latest = min(flow.latest_copy, LATEST_COPY)
+    return ATTEMPT_SECONDS[latest + 1] - ATTEMPT_SECONDS[latest]
 
 
 def _held_flow(
@@ -160,6 +168,7 @@
     elif now - flow.sent_at >= COPY_SECONDS:
         _try_another(state, key, flow, now, rng)
     flow.sent_at = flow.seen_at = now
+    flow.latest_copy = packet.copy
     identity = flow.upstream.identity
     return Forward(
         address=identity.address,
@@ -208,8 +217,6 @@
         if not state.has_newest_routing():
             return DropPacket(reason="routing_behind")
         return _reset_unheld(packet, "route_removed")
-    if is_provisional(packet.token) and not _opens(flow, packet):
-        return DropPacket(reason="provisional_token")
     token = packet.token & ~PROVISIONAL
     record = state.tokens.get(token)
     if record is None:
@@ -229,14 +236,17 @@
     return flow
 
 
-def _opens(flow: TokenFlow | None, packet: FlowPacket) -> bool:
+def _opens(flow: TokenFlow | None, packet: FlowPacket, arrived_at: float) -> bool:
     """Tell whether a packet is among the first after an opening packet seen here.
 
     Packets overtake each other. Where the first copy did not come here, the flow may
-    have opened and gone on elsewhere, so only its first byte tells.
+    have opened and gone on elsewhere, so only its first byte tells. So it may where the
+    next copy should have come.
     """
     if flow is None or flow.opening is None:
         return False
+    if arrived_at - flow.sent_at > _until_next_copy(flow) + REPEATED_SECONDS:
+        return False
     limit = 1 if flow.opening_copy else WINDOW_BYTES
     return (packet.sequence - flow.opening) % NUMBER_SPACE <= limit
 
--- a/src/chervilstage/transport/feed_server.py
+++ b/src/chervilstage/transport/feed_server.py
@@ -136,7 +136,8 @@
             log_event("departure_of_unknown", level=logging.WARNING, label=label)
             return
         if incarnation is None and not is_leaving(record):
-            log_event("departure_not_announced", level=logging.WARNING, **_shown(record))
+            shown = _shown(record)
+            log_event("departure_not_announced", level=logging.WARNING, **shown)
             return
         take_departure(self.feed, record, replica_clock())
         log_event("upstream_gone", **_shown(record))
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -177,6 +177,14 @@
         )
         self.assertThat(getattr(later, "label", None), Not(Equals(1)))
 
+    def test_a_first_packet_that_this_entry_read_late_opens_its_flow(self) -> None:
+        """Guards against callers that wait since an entry stood still for a moment."""
+        self.first.now += 0.8
+        late = self.first.send(
+            40_001, token=self.answer_here.token, sequence=2, size=100, waited=0.7
+        )
+        self.assertThat(late.label, Equals(1))
+
     def test_an_answer_to_the_second_copy_moves_no_flow_opened_by_the_first(
         self,
     ) -> None:
