Show that the announcement of a next run closes flows of that run

An upstream may crash and start again under the id that it had. Until its first announcement has reached an entry, new flows still go to its address with its label under the token of the run before, and the new run takes them. Its announcement then counts as the end of the run before, and 0.3 s later entries reset these flows although the upstream that holds them lives.

The test fails on this code, at an entry that holds the flow; an entry that does not hold it resets the flow as well.

--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -199,3 +199,23 @@
             40_001, token=self.answer_here.token, sequence=2, size=100
         )
         self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+
+class NextRunTests(TestCase):
+    """An upstream that has started again under its id and is not heard of yet."""
+
+    def test_a_flow_opened_by_the_next_run_of_its_id_outlives_the_end_of_the_run_before(
+        self,
+    ) -> None:
+        """Guards against a reset of flows that a run took before it was announced."""
+        again = make_record(1, incarnation=2)
+        for holds in (True, False):
+            relay = RelayDriver(records=[make_record(1)])
+            # The new run has the address and the label, so it answers this one.
+            opened = relay.open(40_001)
+            if not holds:
+                relay = RelayDriver(records=[make_record(1)], name="entry-2")
+            relay.hear(again)
+            relay.now += 0.5
+            later = relay.send(40_001, token=opened.token or 0, size=10)
+            self.assertThat(later, Not(IsInstance(ResetFlow)))
