Keep the flows that a next run under the same id took before it was announced

What callers saw: an upstream crashed and started again under its id; flows that the new run had taken were reset 0.3 s after its first announcement although it lived.

Cause: until that announcement reaches an entry, new flows go to the address with the label of the run before and with its token, and the new run takes them. The announcement then counted as the end of all flows with that token.

Change: where the next run has the address, service and label of the one before, the token of that one leads to it. It answers callers whose flow it does not hold with a reset of its own, so the entry need not guess.

--- a/src/chervilstage/coordination/relay_directory.py
+++ b/src/chervilstage/coordination/relay_directory.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from ..state.registry import is_leaving
+from ..state.registry import is_leaving, is_same_target
 from ..state.routing import Routing, endpoint_of
 from ..state.token_flows import EndedUpstream, TokenRelayState
 from ..state.types import UpstreamRecord
@@ -90,7 +90,7 @@
 def rebuild(state: TokenRelayState) -> None:
     """Compute the tokens and the upstreams that may get new flows."""
     records = list(state.registry.records.values())
-    state.tokens = token_holders(records)
+    state.tokens = _next_runs(state) | token_holders(records)
     eligible: dict[str, list[UpstreamRecord]] = defaultdict(list)
     for record in sorted(records):
         if is_leaving(record) or record.data_centre in state.out:
@@ -106,6 +106,21 @@
     }
 
 
+def _next_runs(state: TokenRelayState) -> dict[int, UpstreamRecord]:
+    """Return the runs that have the address and label of an ended one, by its token.
+
+    Such a run may have taken flows by that token before it was heard of. It answers the
+    callers of those that it does not hold itself.
+    """
+    records = state.registry.records
+    found = {}
+    for token, ended in state.ended.items():
+        current = records.get(ended.record.identity.address)
+        if current is not None and is_same_target(ended.record, current):
+            found[token] = current
+    return found
+
+
 def _take_end(state: TokenRelayState, record: UpstreamRecord, now: float) -> bool:
     """Take note that a run has ended, and tell whether it was held here."""
     held = state.registry.records.get(record.identity.address)
--- a/src/chervilstage/state/registry.py
+++ b/src/chervilstage/state/registry.py
@@ -162,5 +162,17 @@
     return record.phase is UpstreamPhase.LEAVING
 
 
+def is_same_target(record: UpstreamRecord, other: UpstreamRecord) -> bool:
+    """Tell whether packets for one run of an upstream are taken by another run.
+
+    An upstream that starts again under its id has the label of the run before.
+    """
+    return (record.identity.address, record.identity.service, record.label) == (
+        other.identity.address,
+        other.identity.service,
+        other.label,
+    )
+
+
 def _version(record: UpstreamRecord) -> Version:
     return (record.identity.incarnation, record.identity.service, record.sequence)
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -219,7 +219,6 @@
         again = make_record(1, incarnation=2)
         for holds in (True, False):
             relay = RelayDriver(records=[make_record(1)])
-            # The new run has the address and the label, so it answers this one.
             opened = relay.open(40_001)
             if not holds:
                 relay = RelayDriver(records=[make_record(1)], name="entry-2")
