Take no repeated first data for the opening of a flow whose copies did not all come here

What callers saw: where the first copy of an opening packet opened a flow through another entry, an entry that had seen only a later copy took the caller's repeated first data, with the token of a second answer, to an upstream that had no such flow and answered with a reset.

Cause: a packet at the first byte counted as the opening however late it came. A caller repeats its first data after 0.2 s, and a repeated one may have been answered elsewhere.

Change: an entry that lacks a copy takes the first byte only, and only for 0.19 s after the latest copy; one that lacks none waits so long from the time at which the next copy is due.

The one that was traced needs a fabric that moves the flow away and back within 0.15 s; the platform's checks are 0.5 s apart.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -37,8 +37,8 @@
 # When callers send an opening packet and its copies, and, last, when they give it up.
 ATTEMPT_SECONDS = (0.0, 0.2, 0.6, 1.4)
 LATEST_COPY = 2
-# Callers repeat their first data for the first time after 200 ms.
-REPEATED_SECONDS = 0.25
+# Callers repeat their first data after 200 ms; a repeated one may have been answered.
+FIRST_DATA_SECONDS = 0.19
 # An answer to an opening packet takes a few milliseconds; data that is repeated after
 # this time is a sign of silence unless another flow there has been answered.
 STALL_SECONDS = 0.35
@@ -162,14 +162,13 @@
             return _refuse(state, packet, now)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
         flow.highest = flow.opening = packet.sequence
-        flow.opening_copy = packet.copy
         _take(state, flow, now)
     elif flow.is_open:
         return DropPacket(reason="late_copy")
     elif now - flow.sent_at >= COPY_SECONDS:
         _try_another(state, key, flow, now, rng)
     flow.sent_at = flow.seen_at = now
-    flow.latest_copy = packet.copy
+    _note_copy(flow, packet.copy)
     identity = flow.upstream.identity
     return Forward(
         address=identity.address,
@@ -240,18 +239,29 @@
 def _opens(flow: TokenFlow | None, packet: FlowPacket, arrived_at: float) -> bool:
     """Tell whether a packet is among the first after an opening packet seen here.
 
-    Packets overtake each other. Where the first copy did not come here, the flow may
-    have opened and gone on elsewhere, so only its first byte tells. So it may where the
-    next copy should have come.
+    Packets overtake each other. Where a copy did not come here, or the next one should
+    have come, the flow may have opened elsewhere: only the first byte tells then, and
+    only before the caller could have repeated it.
     """
     if flow is None or flow.opening is None:
         return False
-    if arrived_at - flow.sent_at > _until_next_copy(flow) + REPEATED_SECONDS:
+    patience = FIRST_DATA_SECONDS
+    limit = 1
+    if not flow.lacks_copies:
+        patience += _until_next_copy(flow)
+        limit = WINDOW_BYTES
+    if arrived_at - flow.sent_at > patience:
         return False
-    limit = 1 if flow.opening_copy else WINDOW_BYTES
     return (packet.sequence - flow.opening) % NUMBER_SPACE <= limit
 
 
+def _note_copy(flow: TokenFlow, copy: int) -> None:
+    """Take note of a copy of an opening packet; an earlier one may be missing."""
+    if copy > flow.latest_copy + 1:
+        flow.lacks_copies = True
+    flow.latest_copy = max(flow.latest_copy, copy)
+
+
 def _relay_to_ended(
     state: TokenRelayState, packet: FlowPacket, services: frozenset[str], now: float
 ) -> PacketDecision:
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -17,12 +17,12 @@
 
     ``known_from`` is when this entry saw its first packet, ``seen_at`` when the last
     one came. ``sent_at`` is when the opening packet was last sent on, ``opening`` its
-    sequence, None if this entry has not seen it; ``opening_copy`` and ``latest_copy``
-    tell which copy came first and last. ``tried`` holds the upstreams that did not
-    answer it. ``token`` is that of the upstream once the flow is open, 0 before.
-    ``busy_since`` is when the request that is not yet answered began, None while there
-    is none; ``answered_up_to`` is what the caller had acknowledged then. ``highest`` is
-    the end of the bytes that the caller has sent.
+    sequence, None if this entry has not seen it; ``latest_copy`` tells which copy came
+    last, ``lacks_copies`` that an earlier one did not come here. ``tried`` holds the
+    upstreams that did not answer it. ``token`` is that of the upstream once the flow is
+    open, 0 before. ``busy_since`` is when the request that is not yet answered began,
+    None while there is none; ``answered_up_to`` is what the caller had acknowledged
+    then. ``highest`` is the end of the bytes that the caller has sent.
     """
 
     __slots__ = (
@@ -33,9 +33,9 @@
         "is_closing",
         "is_open",
         "known_from",
+        "lacks_copies",
         "latest_copy",
         "opening",
-        "opening_copy",
         "seen_at",
         "sent_at",
         "service",
@@ -49,8 +49,8 @@
         self.service = service
         self.token = 0
         self.opening: int | None = None
-        self.opening_copy = 0
-        self.latest_copy = 0
+        self.latest_copy = -1
+        self.lacks_copies = False
         self.is_open = False
         self.is_closing = False
         self.known_from = now
