--- a/src/chervilstage/coordination/replica_apply.py
+++ b/src/chervilstage/coordination/replica_apply.py
@@ -9,6 +9,10 @@
 from .replica_effects import ReplicaEffect, Reply, SaveSnapshot
 
 SNAPSHOT_ENTRIES = 512
+# Large routing tables would fill the disk and the memory long before that many entries.
+SNAPSHOT_BYTES = 1024 * 1024
+# A snapshot holds one table; the log grows by a few before the next one is written.
+SNAPSHOT_TABLES = 4
 KEPT_ENTRIES = 128
 
 
@@ -22,7 +26,7 @@
         replica.applied_index = entry.position
         if outcome is not None:
             effects.append(Reply(outcome=outcome))
-    if replica.applied_index - replica.snapshot.position >= SNAPSHOT_ENTRIES:
+    if _is_snapshot_due(replica):
         effects.append(take_snapshot(replica))
     return effects
 
@@ -31,7 +35,7 @@
     """Replace the applied entries by a snapshot.
 
     Some entries stay in memory, so that a replica that lags a little needs no
-    snapshot.
+    snapshot, but no more bytes than a log without a snapshot may have.
     """
     index = replica.applied_index
     replica.snapshot = Snapshot(
@@ -41,12 +45,45 @@
         configuration=replica.applied.configuration,
         outcomes=tuple(replica.applied.outcomes.values()),
     )
-    replica.log.compact(index - KEPT_ENTRIES)
+    replica.log.compact(index - _kept_entries(replica, index))
     return SaveSnapshot(
         snapshot=replica.snapshot, entries=tuple(replica.log.after(index))
     )
 
 
+def _is_snapshot_due(replica: Replica) -> bool:
+    applied = replica.applied_index - replica.snapshot.position
+    if applied >= SNAPSHOT_ENTRIES:
+        return True
+    entries = replica.log.after(replica.snapshot.position)[:applied]
+    return sum(map(_table_bytes, entries)) >= _largest_log(replica)
+
+
+def _kept_entries(replica: Replica, index: int) -> int:
+    """Return how many entries up to an index stay in memory."""
+    first = max(replica.log.base_index, index - KEPT_ENTRIES)
+    entries = replica.log.after(first)[: index - first]
+    room = _largest_log(replica)
+    for kept, entry in enumerate(reversed(entries)):
+        room -= _table_bytes(entry)
+        if room < 0:
+            return kept
+    return len(entries)
+
+
+def _largest_log(replica: Replica) -> int:
+    """Return the bytes of routing tables that a log may have before a snapshot."""
+    held = replica.applied.configuration.routing
+    return max(SNAPSHOT_BYTES, SNAPSHOT_TABLES * len(held.content) if held else 0)
+
+
+def _table_bytes(entry: LogEntry) -> int:
+    command = entry.command
+    if isinstance(command, ChangeCommand) and command.change.routing is not None:
+        return len(command.change.routing.content)
+    return 0
+
+
 def newest_routing(replica: Replica) -> RoutingDocument | None:
     """Return the newest routing table in the log, committed or not."""
     held = replica.applied.configuration.routing
--- a/testing/transport/test_small_disks.py
+++ b/testing/transport/test_small_disks.py
@@ -9,6 +9,8 @@
 import anyio
 
 from chervilstage.state.configuration import Change, RoutingDocument
+from chervilstage.state.log_entries import ChangeCommand
+from chervilstage.state.replica import Replica
 from testing.support.disk_cell import DiskCell
 from testing.support.full_disks import WRITE, FullDisk, refusing
 
@@ -16,6 +18,8 @@
 DISK_BYTES = 1_280_000
 TABLE_BYTES = 4_500
 ACKNOWLEDGED_SECONDS = 4.5
+# A log may hold this much and the change that goes beyond it.
+HELD_BYTES = 1024 * 1024 + TABLE_BYTES
 FULL_SECONDS = 0.5
 
 
@@ -48,6 +52,13 @@
     return change._replace(routing=RoutingDocument(version=version, content=content))
 
 
+def held_bytes(replica: Replica) -> int:
+    """Return the bytes of the routing tables in the log of a replica."""
+    commands = (entry.command for entry in replica.log.entries)
+    changes = [c.change for c in commands if isinstance(c, ChangeCommand)]
+    return sum(len(c.routing.content) for c in changes if c.routing is not None)
+
+
 async def publish(cell: DiskCell, first: int, last: int) -> None:
     """Publish tables one after the other until one is refused."""
     for version in range(first, last + 1):
@@ -70,6 +81,24 @@
     assert cell.refused == []
 
 
+def test_hundreds_of_large_changes_leave_the_memory(tmp_path: Path) -> None:
+    """Guards against a replica that grows over its limit of memory."""
+    cell = make_cell(tmp_path)
+    held: list[int] = []
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            await cell.start(group)
+            for last in range(50, 301, 50):
+                await publish(cell, last - 49, last)
+                held.append(held_bytes(cell.nodes[0].replica))
+            group.cancel_scope.cancel()
+
+    with refusing(cell.disks):
+        anyio.run(main)
+    assert max(held) <= HELD_BYTES
+
+
 def test_a_replica_takes_part_again_although_its_log_fills_half_of_the_disk(
     tmp_path: Path,
 ) -> None:
