--- a/src/chervilstage/transport/replica_driver.py
+++ b/src/chervilstage/transport/replica_driver.py
@@ -21,6 +21,7 @@
     start_replica,
     submit,
 )
+from ..coordination.replica_apply import take_snapshot
 from ..coordination.replica_effects import (
     Persist,
     ReplicaEffect,
@@ -188,13 +189,16 @@
     def save_anew(self) -> None:
         """Make the newest state of the replica durable.
 
+        What is applied goes into a snapshot, since there may be no room for the whole
+        log beside the files that it replaces.
+
         :raises LogFullError: the disk is still full.
         :raises LogWriteError: the disk has failed in another way.
         """
         replica = self.replica
-        entries = replica.log.after(replica.snapshot.position)
+        snapshot, entries = take_snapshot(replica)
         with disk_errors(self.store.folder):
-            self.store.save_anew(replica.vote, replica.snapshot, entries)
+            self.store.save_anew(replica.vote, snapshot, entries)
         self.drop_unsaved()
         self.report_saves()
 
