Start HTTP endpoints through one function

`http_endpoint_hooks` has it once, and keeps the late import of the HTTP server.

Tests of testing/platform and testing/transport pass.

--- a/src/chervilstage/platform/control.py
+++ b/src/chervilstage/platform/control.py
@@ -4,15 +4,13 @@
 
 from pathlib import Path
 
-from anyio.abc import TaskGroup
-
 from ..state.configuration import RoutingDocument
 from ..state.counters import Counters
 from ..state.histograms import Histogram
 from ..state.types import Address, Peer
-from ..transport.application import Application, Hooks
+from ..transport.application import Application
 from ..transport.control_parts import build_control_parts, build_feed_parts
-from ..transport.http_server import start_http_server
+from ..transport.http_endpoint import http_endpoint_hooks
 from .control_calls import ControlCalls
 from .documents import decode_accepted
 from .metrics import METRICS_PORTS, platform_metrics_hooks
@@ -60,17 +58,11 @@
             durations={"log_sync_seconds": syncs, "change_seconds": calls.durations},
         )
     )
-    app.add(_calls_hooks(required(settings.control, "Control"), calls))
+    calls_address = required(settings.control, "Control")
+    app.add(http_endpoint_hooks("platform_calls", calls_address, calls.answer))
     return app
 
 
-def _calls_hooks(address: Address, calls: ControlCalls) -> Hooks:
-    async def start(group: TaskGroup) -> None:
-        await start_http_server(group, address, calls.answer)
-
-    return Hooks(name="platform_calls", start=start)
-
-
 def _services_of(document: RoutingDocument) -> frozenset[str]:
     return frozenset(service.name for service in decode_accepted(document).services)
 
--- a/src/chervilstage/platform/metrics.py
+++ b/src/chervilstage/platform/metrics.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
-from anyio.abc import TaskGroup
-
 from ..state.counters import Counters
 from ..state.histograms import Histogram
 from ..state.types import Address
 from ..transport.application import Hooks
+from ..transport.http_endpoint import http_endpoint_hooks
 
 if TYPE_CHECKING:
     from ..transport.http_connection import HttpRequest, HttpResponse
@@ -32,14 +31,10 @@
     an incident is examined and loading them takes a tenth of a second of a core.
     """
 
-    async def start(group: TaskGroup) -> None:
-        from ..transport.http_server import start_http_server
-
-        async def answer(request: HttpRequest) -> HttpResponse:
-            from ..transport.metrics import metrics_response
-
-            return metrics_response(request, counters, gauges, durations)
+    async def answer(request: HttpRequest) -> HttpResponse:
+        """Answer one request with the counts of this moment."""
+        from ..transport.metrics import metrics_response
 
-        await start_http_server(group, address, answer)
+        return metrics_response(request, counters, gauges, durations)
 
-    return Hooks(name="metrics", start=start)
+    return http_endpoint_hooks("metrics", address, answer)
--- a/src/chervilstage/platform/packets.py
+++ b/src/chervilstage/platform/packets.py
@@ -76,6 +76,7 @@
     def encode_reset(
         caller: Endpoint, front: Endpoint, sequence: int
     ) -> tuple[bytes, tuple[str, int]]:
+        """Return a packet that resets a caller's flow, and where it goes."""
         data = HEADER.pack(
             0, 0, front, caller[4:], caller[:4], sequence, 0, FLAG_RST, 0
         )
--- a/src/chervilstage/platform/shared.py
+++ b/src/chervilstage/platform/shared.py
@@ -56,6 +56,7 @@
     known = replica_addresses(settings)
 
     def listed() -> list[Address]:
+        """Return the addresses of the last whole settings file."""
         nonlocal known
         try:
             known = replica_addresses(read_settings(path))
--- a/src/chervilstage/transport/metrics.py
+++ b/src/chervilstage/transport/metrics.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 
-from anyio.abc import TaskGroup
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -20,7 +19,7 @@
 from ..state.types import Address
 from .application import Hooks
 from .http_connection import HttpRequest, HttpResponse
-from .http_server import start_http_server
+from .http_endpoint import http_endpoint_hooks
 
 Gauges = Callable[[], Mapping[str, float]]
 
@@ -85,12 +84,10 @@
         registry.register(histogram)
 
     async def answer(request: HttpRequest) -> HttpResponse:
+        """Answer one request from the registry."""
         return _exposition(request, registry)
 
-    async def start(group: TaskGroup) -> None:
-        await start_http_server(group, address, answer)
-
-    return Hooks(name="metrics", start=start)
+    return http_endpoint_hooks("metrics", address, answer)
 
 
 def metrics_response(
