--- a/src/chervilstage/transport/control_parts.py
+++ b/src/chervilstage/transport/control_parts.py
@@ -75,14 +75,9 @@
     """
     client = FrameClient(name=own.name, key=key, counters=counters)
     frames = FrameServer(name=own.name, address=own.address, key=key, counters=counters)
-    store = LogStore(
-        folder=data_folder,
-        identity=secrets.randbits(IDENTITY_BITS) | 1,
-        observe=observe_sync,
-    )
     driver = ReplicaDriver(
         address=own.address,
-        store=store,
+        store=_build_store(data_folder, observe_sync),
         links=ReplicaLinks(frames=client),
         frames=frames,
         size=size,
@@ -105,6 +100,11 @@
     )
 
 
+def _build_store(folder: Path, observe: SyncObserver) -> LogStore:
+    identity = secrets.randbits(IDENTITY_BITS) | 1
+    return LogStore(folder=folder, identity=identity, observe=observe)
+
+
 class FeedParts(NamedTuple):
     """The feed of upstreams that a replica serves and follows."""
 
