--- a/src/chervilstage/coordination/lease_owner.py
+++ b/src/chervilstage/coordination/lease_owner.py
@@ -177,6 +177,7 @@
     rank = {n: i for i, n in enumerate(rendezvous_order(upstream, claims))}
 
     def order(name: str) -> tuple[float, int]:
+        """Return the rank of an entry: the greatest need first."""
         claim = claims[name]
         advantage = HOLDER_ADVANTAGE if claim.occupied else 1.0
         return (-claim.need * advantage, rank[name])
--- a/src/chervilstage/coordination/load_summary.py
+++ b/src/chervilstage/coordination/load_summary.py
@@ -61,6 +61,7 @@
 
 def _latency(name: str, histogram: HdrHistogram) -> Latency:
     def quantile(percentile: float) -> float:
+        """Return a percentile in the unit of the report."""
         value: float = histogram.get_value_at_percentile(percentile)
         return value / MICROSECONDS
 
--- a/src/chervilstage/programs/running.py
+++ b/src/chervilstage/programs/running.py
@@ -29,6 +29,7 @@
     configure_logging(log_level, STANDARD_OUTPUT)
 
     async def main() -> None:
+        """Build the application inside the event loop and run it."""
         await build().run()
 
     try:
--- a/src/chervilstage/programs/standin.py
+++ b/src/chervilstage/programs/standin.py
@@ -47,6 +47,7 @@
     entries = [parse_address(text) for text in entry]
 
     def build() -> Application:
+        """Return the application of the stand-in."""
         application = Application(name=f"standin-{service}")
         server = StandinServer(
             host=host,
--- a/src/chervilstage/protocol/proxy_header.py
+++ b/src/chervilstage/protocol/proxy_header.py
@@ -47,6 +47,7 @@
     host, port = packed[:4], packed[4:]
 
     def write(caller: bytes) -> bytes:
+        """Return the header of a packed caller."""
         return prefix + caller[:4] + host + caller[4:] + port
 
     return write
--- a/src/chervilstage/transport/configuration_client.py
+++ b/src/chervilstage/transport/configuration_client.py
@@ -165,6 +165,7 @@
         found: list[Configuration] = []
 
         async def ask(peer: Peer) -> None:
+            """Collect the configuration of one process, if it answers."""
             try:
                 configuration = await self.fetch(peer, 0.0, START_SECONDS)
             except ChervilstageError:
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -74,6 +74,7 @@
         links.membership.listeners.append(listener)
 
     def gauges() -> dict[str, float]:
+        """Return what the entry reports of itself."""
         return _gauges(state, services)
 
     serve_explanations(links.frame_server, state.flows)
@@ -215,6 +216,7 @@
     services: EntryServices,
 ) -> ConfigurationClient:
     def on_change() -> None:
+        """Apply the configuration that has come into force to the other parts."""
         revision = state.in_force.current.revision
         state.members.report = state.members.report._replace(revision=revision)
         services.front_ends.reconcile()
--- a/src/chervilstage/transport/entry_status.py
+++ b/src/chervilstage/transport/entry_status.py
@@ -31,6 +31,7 @@
     """
 
     async def answer(sender: str, body: bytes) -> bytes:
+        """Answer one status frame."""
         status = ProcessStatus(
             revision=in_force.current.revision, gauges=gauges(), group=group
         )
--- a/src/chervilstage/transport/flow_explanations.py
+++ b/src/chervilstage/transport/flow_explanations.py
@@ -31,6 +31,7 @@
     """Answer questions about flows from the state of this entry."""
 
     async def answer(sender: str, body: bytes) -> bytes:
+        """Answer one question about a flow."""
         query = decode_flow_query(body)
         try:
             caller = packed_address(*query.caller)
@@ -52,6 +53,7 @@
     body = encode_flow_query(query)
 
     async def ask(peer: Peer) -> None:
+        """Store the answer of one entry, or the error in its place."""
         try:
             answer = await frames.call(
                 peer.address, Kind.EXPLAIN_FLOW, body, EXPLAIN_SECONDS
--- a/src/chervilstage/transport/http_server.py
+++ b/src/chervilstage/transport/http_server.py
@@ -47,6 +47,7 @@
         listener = TLSListener(listener, tls, standard_compatible=False)
 
     async def serve(stream: ByteStream) -> None:
+        """Answer the requests of one connection with the handler."""
         await serve_http(stream, handler)
 
     group.start_soon(listener.serve, serve)
--- a/src/chervilstage/transport/request_service.py
+++ b/src/chervilstage/transport/request_service.py
@@ -95,6 +95,7 @@
         if name not in self.services:
 
             def rules() -> ServiceRules:
+                """Return the rules of the service that are in force."""
                 return self.in_force.current.service_rules(name)
 
             self.services[name] = ServiceRequests(
--- a/src/chervilstage/transport/routing_server.py
+++ b/src/chervilstage/transport/routing_server.py
@@ -20,6 +20,7 @@
     version, encoded = 0, b""
 
     async def answer(sender: str, body: bytes) -> bytes:
+        """Return the accepted table, or nothing if it is older than asked for."""
         nonlocal version, encoded
         document = accepted()
         if document is None or document.version < decode_routing_query(body):
--- a/src/chervilstage/transport/standin_control.py
+++ b/src/chervilstage/transport/standin_control.py
@@ -43,6 +43,7 @@
     """
 
     async def answer(request: HttpRequest) -> HttpResponse:
+        """Answer one command, or refuse it with its error."""
         try:
             return await _answer(control, request)
         except ChervilstageError as error:
--- a/src/chervilstage/transport/standin_requests.py
+++ b/src/chervilstage/transport/standin_requests.py
@@ -174,6 +174,7 @@
         async with anyio.create_task_group() as group:
 
             async def watch() -> None:
+                """Stop the work once the caller has closed its connection."""
                 nonlocal stays
                 await wait_closed(connection)
                 stays = False
--- a/src/chervilstage/transport/status_collector.py
+++ b/src/chervilstage/transport/status_collector.py
@@ -34,6 +34,7 @@
     limiter = anyio.CapacityLimiter(CONCURRENT_CALLS)
 
     async def ask(peer: Peer) -> None:
+        """Store the status of one process."""
         async with limiter:
             found[peer.name] = await fetch_status(frames, peer.address)
 
--- a/src/chervilstage/transport/upstream_exchange.py
+++ b/src/chervilstage/transport/upstream_exchange.py
@@ -135,6 +135,7 @@
         await connection.send(h11.EndOfMessage())
 
     async def read() -> h11.Response:
+        """Return the response on this connection."""
         return await _response(connection)
 
     if request.caller is not None:
