Build callers' packets of tests and benchmarks in one place

`make_packet` of testing/support/token_relays.py takes the place of the ones in bench/tokens.py and testing/transport/test_relay_log.py. Assertions are unchanged; the tests of both relays pass, and `cold.excess_over_entries` and the decisions of bench/tokens.py run.

--- a/bench/tokens.py
+++ b/bench/tokens.py
@@ -17,14 +17,13 @@
 from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.platform.packets import make_codec
 from chervilstage.state.counters import Counters
-from chervilstage.state.flow_packets import FlowPacket, Forward
-from chervilstage.state.routing import endpoint_of
+from chervilstage.state.flow_packets import Forward
 from chervilstage.state.token_flows import TokenRelayState
 from chervilstage.state.types import Address
 from chervilstage.state.upstream_feed import FeedItem
 from chervilstage.transport.datagrams import bound_address, open_datagram_socket
 from chervilstage.transport.token_relay import TokenRelay
-from testing.support.token_relays import FRONT, SERVICE, make_routing
+from testing.support.token_relays import FRONT, SERVICE, make_packet, make_routing
 
 from .figures import Figure
 from .flow_states import upstream_of
@@ -52,33 +51,22 @@
     return state
 
 
-def make_packet(number: int, *, is_opening: bool, token: int = 0) -> FlowPacket:
-    """Return a packet of a caller."""
-    caller = Address(host=f"100.64.{number >> 14}.1", port=1024 + number % 16_384)
-    return FlowPacket(
-        caller=endpoint_of(caller),
-        front=endpoint_of(FRONT),
-        is_opening=is_opening,
-        is_ending=False,
-        is_reset=False,
-        sequence=1,
-        acknowledged=0,
-        size=0,
-        token=token,
-    )
+def caller_of(number: int) -> Address:
+    """Return the address of a caller."""
+    return Address(host=f"100.64.{number >> 14}.1", port=1024 + number % 16_384)
 
 
 def measure_decisions() -> Iterator[Figure]:
     """Time the decisions on opening packets and on those of open flows."""
     rng = Random(1)
     state = relay_state([Address(host=f"10.0.0.{n}", port=8080) for n in range(1, 8)])
-    opening = [make_packet(n, is_opening=True) for n in range(FLOWS)]
+    opening = [make_packet(caller_of(n), is_opening=True) for n in range(FLOWS)]
     started = time.process_time()
     decisions = [relay_packet(state, packet, 1.0, rng) for packet in opening]
     spent = time.process_time() - started
     yield Figure(name="token.opening", value=spent / FLOWS * 1e6, how="decisions")
     later = [
-        make_packet(n, is_opening=False, token=d.token or 0)
+        make_packet(caller_of(n), token=d.token or 0)
         for n, d in enumerate(decisions)
         if isinstance(d, Forward)
     ]
@@ -150,7 +138,7 @@
         state.name, state.entries = name, entries
         rng = Random(1)
         for number in range(100 * SECONDS):
-            packet = make_packet(number, is_opening=True)
+            packet = make_packet(caller_of(number), is_opening=True)
             decision = relay_packet(state, packet, number / 100, rng)
             taken += isinstance(decision, Forward)
     borne = 5 * SECONDS
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -25,6 +25,7 @@
 from chervilstage.transport.token_relay import PacketCodec
 
 FRONT = Address(host="198.18.0.1", port=443)
+CALLER_HOST = "100.64.0.1"
 SERVICE = "alley-desk"
 SETTLED_AT = 100.0
 
@@ -82,20 +83,37 @@
     )
 
 
-def opening_codec(front: Address) -> PacketCodec:
-    """Return a codec that takes any bytes for one caller's opening packet."""
-    caller = Address(host="127.0.0.1", port=40_001)
-    packet = FlowPacket(
+def make_packet(
+    caller: Address,
+    *,
+    front: Address = FRONT,
+    is_opening: bool = False,
+    is_ending: bool = False,
+    sequence: int = 1,
+    acknowledged: int = 0,
+    size: int = 0,
+    token: int = 0,
+    copy: int = 0,
+) -> FlowPacket:
+    """Return a packet of a caller."""
+    return FlowPacket(
         caller=endpoint_of(caller),
         front=endpoint_of(front),
-        is_opening=True,
-        is_ending=False,
+        is_opening=is_opening,
+        is_ending=is_ending,
         is_reset=False,
-        sequence=1,
-        acknowledged=0,
-        size=0,
-        token=0,
+        sequence=sequence,
+        acknowledged=acknowledged,
+        size=size,
+        token=token,
+        copy=copy,
     )
+
+
+def opening_codec(front: Address) -> PacketCodec:
+    """Return a codec that takes any bytes for one caller's opening packet."""
+    caller = Address(host="127.0.0.1", port=40_001)
+    packet = make_packet(caller, front=front, is_opening=True)
     return PacketCodec(
         decode=lambda data: packet,
         forward=lambda data, label, token: data,
@@ -144,12 +162,11 @@
 
         :param waited: the seconds that it waited at the entry.
         """
-        packet = FlowPacket(
-            caller=endpoint_of(Address(host="100.64.0.1", port=caller)),
-            front=endpoint_of(front),
+        packet = make_packet(
+            Address(host=CALLER_HOST, port=caller),
+            front=front,
             is_opening=opening,
             is_ending=ending,
-            is_reset=False,
             sequence=sequence,
             acknowledged=acknowledged,
             size=size,
--- a/testing/transport/test_relay_log.py
+++ b/testing/transport/test_relay_log.py
@@ -10,13 +10,19 @@
 from chervilstage.coordination.flow_tokens import flow_token
 from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.state.counters import Counters
-from chervilstage.state.flow_packets import FlowPacket, Forward, ResetFlow
-from chervilstage.state.routing import endpoint_of
+from chervilstage.state.flow_packets import Forward, ResetFlow
 from chervilstage.state.types import Address
 from chervilstage.transport.log_budget import BURST_LINES
 from chervilstage.transport.loop_lateness import KEPT_SECONDS, LoopLateness
 from chervilstage.transport.relay_log import RelayLog
-from testing.support.token_relays import FRONT, RelayDriver, make_record
+from testing.support.token_relays import (
+    CALLER_HOST,
+    RelayDriver,
+    make_packet,
+    make_record,
+)
+
+CALLER = Address(host=CALLER_HOST, port=40_001)
 
 
 class LinesOfClosedFlowsTests(TestCase):
@@ -37,14 +43,14 @@
     def test_lines_of_new_flows_do_not_crowd_out_the_line_of_a_closed_one(self) -> None:
         relay = RelayDriver(records=[make_record(1)])
         log = RelayLog(counters=Counters())
-        opening = make_packet(is_opening=True)
+        opening = make_packet(CALLER, is_opening=True)
         for _ in range(int(BURST_LINES) + 1):
             decision = relay_packet(relay.state, opening, relay.now, relay.rng)
             log.decided(relay.state, opening, decision, relay.now)
         opened = relay.open(40_001)
         relay.hear(make_record(1, incarnation=2))
         relay.now += 0.5
-        packet = make_packet(token=opened.token or 0)
+        packet = make_packet(CALLER, token=opened.token or 0)
         decision = relay_packet(relay.state, packet, relay.now, relay.rng)
         self.assertThat(isinstance(decision, ResetFlow), Equals(True))
         log.decided(relay.state, packet, decision, relay.now)
@@ -65,7 +71,7 @@
         opened = relay.open(40_001)
         relay.hear(make_record(1), gone=True)
         relay.now += 5.0
-        packet = make_packet(token=opened.token or 0)
+        packet = make_packet(CALLER, token=opened.token or 0)
         decision = relay_packet(relay.state, packet, relay.now, relay.rng)
         log.decided(relay.state, packet, decision, relay.now)
         closed = [line for line in self.lines if line["event"] == "flow_closed"]
@@ -76,7 +82,7 @@
         relay = RelayDriver(records=[make_record(1), make_record(2)])
         log = RelayLog(counters=Counters())
         for label in (1, 2):
-            packet = make_packet(token=flow_token(make_record(label).identity))
+            packet = make_packet(CALLER, token=flow_token(make_record(label).identity))
             decision = relay_packet(relay.state, packet, relay.now, relay.rng)
             assert isinstance(decision, Forward)
             log.moved(relay.state, packet, decision, relay.now)
@@ -98,18 +104,3 @@
         lateness.note(11.7, 11.8)
         self.assertThat(lateness.worst(12.0), Equals(1.5))
         self.assertThat(lateness.worst(11.5 + KEPT_SECONDS + 0.1), Equals(0.0))
-
-
-def make_packet(*, is_opening: bool = False, token: int = 0) -> FlowPacket:
-    """Return a packet of one caller."""
-    return FlowPacket(
-        caller=endpoint_of(Address(host="100.64.0.1", port=40_001)),
-        front=endpoint_of(FRONT),
-        is_opening=is_opening,
-        is_ending=False,
-        is_reset=False,
-        sequence=1,
-        acknowledged=0,
-        size=0,
-        token=token,
-    )
