--- /dev/null
+++ b/testing/coordination/test_silent_upstreams.py
@@ -0,0 +1,261 @@
+"""The relay of flows by token while upstreams do not answer."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Equals, IsInstance
+
+from chervilstage.coordination.suspicion import (
+    is_suspect,
+    note_answer,
+    note_silence,
+    reaches_nobody,
+)
+from chervilstage.state.flow_packets import Forward
+from testing.support.token_relays import RelayDriver, make_record
+
+
+class SilentUpstreamTests(TestCase):
+    """Guards against callers that wait for upstreams which cannot be reached."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.records = [
+            make_record(1),
+            make_record(2),
+            make_record(3, data_centre="gl-huron"),
+            make_record(4, data_centre="gl-huron"),
+        ]
+        self.relay = RelayDriver(records=self.records)
+        self.callers = iter(range(50_000, 60_000))
+
+    def open_at(self, label: int) -> tuple[int, int]:
+        """Open a flow at an upstream and return its caller and token."""
+        for caller in self.callers:
+            opened = self.relay.open(caller)
+            if opened.label == label:
+                return caller, opened.token or 0
+        raise AssertionError(f"no flow reached upstream {label}")
+
+    def let_announce(self, *labels: int) -> None:
+        """Let some upstreams announce themselves now."""
+        for place, record in enumerate(self.records):
+            if record.label in labels:
+                record = record._replace(sequence=record.sequence + 1)
+                self.records[place] = record
+                self.relay.hear(record)
+
+    def assert_kept(self, caller: int, token: int, *, label: int) -> None:
+        """Check that a flow is held and that its packets reach its upstream."""
+        flows = self.relay.state.flows
+        held = [f for key, f in flows.items() if key[4:6] == caller.to_bytes(2, "big")]
+        self.assertThat([f.upstream.label for f in held], Equals([label]))
+        again = self.relay.send(caller, token=token, sequence=1, size=100)
+        self.assertThat(again, IsInstance(Forward))
+        self.assertThat(again.label, Equals(label))
+
+    def doubt(self, data_centre: str) -> None:
+        """Let two other upstreams of a data centre be silent for a second."""
+        others = [make_record(n, data_centre=data_centre) for n in (5, 6)]
+        self.relay.hear(*others)
+        for record in others:
+            note_silence(self.relay.state, record, self.relay.now)
+        self.relay.now += 1.0
+
+    def leave_unanswered(self, label: int, seconds: float) -> None:
+        """Let time pass in which one upstream answers no opening packet."""
+        end = self.relay.now + seconds
+        while self.relay.now < end:
+            caller = next(self.callers)
+            opened = self.relay.send(caller, opening=True)
+            if opened.label != label:
+                self.relay.send(caller, token=opened.token or 0)
+            self.relay.now += 0.02
+            if opened.label == label:
+                self.relay.now += 0.2
+                retried = self.relay.send(caller, opening=True)
+                self.relay.send(caller, token=retried.token or 0)
+
+    def test_silence_keeps_open_flows_and_sends_new_ones_elsewhere(self) -> None:
+        """Guards against a reset of a flow whose upstream may live."""
+        caller, token = self.open_at(1)
+        self.relay.send(caller, token=token, sequence=1, size=100)
+        self.leave_unanswered(1, 3.0)
+        self.let_announce(2, 3, 4)
+        self.assert_kept(caller, token, label=1)
+        self.assertTrue(is_suspect(self.relay.state, self.records[0], self.relay.now))
+        opened = {self.relay.open(next(self.callers)).label for _ in range(20)}
+        self.assertThat(1 in opened, Equals(False))
+
+    def test_a_silent_upstream_that_announces_itself_keeps_its_flows(self) -> None:
+        """Guards against flows that are closed while their upstream works on them.
+
+        Found on the calm day of a grown deployment: an upstream answered three
+        callers of one entry late, and their flows were reset.
+        """
+        caller, token = self.open_at(1)
+        self.relay.send(caller, token=token, sequence=1, size=100)
+        self.leave_unanswered(1, 3.0)
+        self.let_announce(1, 2, 3, 4)
+        self.assert_kept(caller, token, label=1)
+
+    def test_an_upstream_beside_silent_ones_keeps_the_flow_whose_packets_are_lost(
+        self,
+    ) -> None:
+        """Guards against a reset of an open flow whose upstream announces itself."""
+        caller, token = self.open_at(3)
+        self.relay.now += 3.0
+        self.doubt("gl-huron")
+        self.relay.send(caller, token=token, sequence=1, size=100)
+        for passed in (0.2, 0.4, 0.8, 1.6):
+            self.relay.now += passed
+            self.let_announce(1, 2, 3, 4)
+            again = self.relay.send(caller, token=token, sequence=1, size=100)
+            self.assertThat(again, IsInstance(Forward))
+            self.assertThat(again.label, Equals(3))
+
+    def test_an_upstream_that_answers_anything_keeps_its_flows(self) -> None:
+        caller, token = self.open_at(1)
+        busy, busy_token = self.open_at(1)
+        self.relay.send(caller, token=token, sequence=1, size=100)
+        for number in range(8):
+            self.leave_unanswered(1, 0.4)
+            self.relay.send(
+                busy,
+                token=busy_token,
+                sequence=1 + number,
+                size=100,
+                acknowledged=number,
+            )
+        self.assert_kept(caller, token, label=1)
+
+    def test_an_idle_upstream_beside_silent_ones_keeps_its_flows(self) -> None:
+        """Found by a hunt: hunt-0ef1-39 of lsac-lanes, an open flow was reset."""
+        caller, token = self.open_at(3)
+        self.relay.now += 5.0
+        self.doubt("gl-huron")
+        asked = self.relay.send(caller, token=token, sequence=1, size=100)
+        self.assertThat(asked, IsInstance(Forward))
+        self.relay.now += 0.075
+        self.assert_kept(caller, token, label=3)
+
+    def test_a_slow_answer_of_a_rarely_asked_upstream_closes_no_flow(self) -> None:
+        """Guards against silence that counts from before there was a question.
+
+        Found on the grown deployments, where each entry asks an upstream every few
+        seconds: open flows were reset on a calm day.
+        """
+        flows = [self.open_at(1), self.open_at(1)]
+        self.relay.now += 5.0
+        for caller, token in flows:
+            self.relay.send(caller, token=token, sequence=1, size=100)
+        for passed in (0.36, 0.34):
+            self.relay.now += passed
+            for caller, token in flows:
+                again = self.relay.send(caller, token=token, sequence=1, size=100)
+                self.assertThat(again, IsInstance(Forward))
+        self.let_announce(2)
+        self.relay.now += 0.1
+        for caller, token in flows:
+            self.assert_kept(caller, token, label=1)
+
+    def test_silence_of_long_ago_closes_no_flow(self) -> None:
+        """Guards against a question that another entry saw answered.
+
+        Found on scale-2 of a grown deployment: a flow moved to another entry after its
+        question; ten seconds later the next question closed a flow at once.
+        """
+        moved, moved_token = self.open_at(1)
+        caller, token = self.open_at(1)
+        self.relay.now += 0.01
+        for _ in range(2):
+            self.relay.send(moved, token=moved_token, sequence=1, size=100)
+            self.relay.now += 0.4
+        self.relay.now += 10.0
+        self.doubt("gl-erie")
+        asked = self.relay.send(caller, token=token, sequence=1, size=100)
+        self.assertThat(asked, IsInstance(Forward))
+        self.relay.now += 0.1
+        self.assert_kept(caller, token, label=1)
+
+    def test_one_flow_that_gets_no_answer_closes_no_flow(self) -> None:
+        """Guards against losses on a full link that count as a silent upstream.
+
+        Found on the grown deployments: uploads filled the link of an entry, and the
+        repeated packets of one flow closed another one.
+        """
+        caller, token = self.open_at(1)
+        other, other_token = self.open_at(1)
+        self.relay.send(other, token=other_token, sequence=1, size=100)
+        for _ in range(8):
+            self.relay.now += 0.4
+            self.relay.send(other, token=other_token, sequence=1, size=100)
+        self.assert_kept(caller, token, label=1)
+
+    def test_packets_repeated_together_are_one_sign(self) -> None:
+        """Guards against an upstream that is avoided for long after one loss."""
+        caller, token = self.open_at(1)
+        for number in range(10):
+            self.relay.send(caller, token=token, sequence=1 + 100 * number, size=100)
+        self.relay.now += 0.4
+        for number in range(10):
+            self.relay.send(caller, token=token, sequence=1 + 100 * number, size=100)
+        self.assertTrue(is_suspect(self.relay.state, self.records[0], self.relay.now))
+        self.relay.now += 0.6
+        self.assertFalse(is_suspect(self.relay.state, self.records[0], self.relay.now))
+
+    def test_an_upload_that_goes_on_is_a_sign_of_life(self) -> None:
+        """Guards against uploads over a slow link that make an upstream suspect."""
+        caller, token = self.open_at(1)
+        for number in range(60):
+            self.relay.now += 0.05
+            for sequence in (1 + 1200 * number, 1 + 1200 * max(0, number - 1)):
+                self.relay.send(caller, token=token, sequence=sequence, size=1200)
+        self.assertFalse(is_suspect(self.relay.state, self.records[0], self.relay.now))
+
+    def test_packets_of_callers_are_no_sign_of_life(self) -> None:
+        caller, token = self.open_at(1)
+        self.relay.send(caller, token=token, sequence=1, size=100)
+        self.leave_unanswered(1, 3.0)
+        self.let_announce(2, 3, 4)
+        self.assert_kept(caller, token, label=1)
+        self.assertTrue(is_suspect(self.relay.state, self.records[0], self.relay.now))
+
+    def test_an_entry_that_hears_nobody_closes_no_flow(self) -> None:
+        caller, token = self.open_at(1)
+        self.relay.send(caller, token=token, sequence=1, size=100)
+        for number in range(20):
+            self.relay.send(60_000 + number, opening=True)
+        for _ in range(5):
+            self.relay.now += 0.4
+            for number in range(20):
+                self.relay.send(60_000 + number, opening=True)
+        self.assert_kept(caller, token, label=1)
+
+    def test_an_entry_that_reaches_nobody_says_so_until_one_answers(self) -> None:
+        self.relay.open(40_001)
+        for number in range(20):
+            self.relay.send(60_000 + number, opening=True)
+        self.assertFalse(reaches_nobody(self.relay.state, self.relay.now))
+        for _ in range(3):
+            self.relay.now += 0.5
+            for number in range(20):
+                self.relay.send(60_000 + number, opening=True)
+        self.assertTrue(reaches_nobody(self.relay.state, self.relay.now))
+        self.relay.open(40_002)
+        self.assertFalse(reaches_nobody(self.relay.state, self.relay.now))
+
+    def test_two_silent_upstreams_put_their_data_centre_in_doubt(self) -> None:
+        for record in self.records[2:]:
+            load = self.relay.state.load_of(record)
+            load.answered_at = self.relay.now
+        note_silence(self.relay.state, self.records[2], self.relay.now)
+        self.assertFalse(is_suspect(self.relay.state, self.records[3], self.relay.now))
+        note_silence(
+            self.relay.state,
+            make_record(5, data_centre="gl-huron"),
+            self.relay.now,
+        )
+        self.assertTrue(is_suspect(self.relay.state, self.records[3], self.relay.now))
+        note_answer(self.relay.state, self.records[3], self.relay.now)
+        self.assertFalse(is_suspect(self.relay.state, self.records[3], self.relay.now))
