Replace figurative names by the usual terms

Idle loops, timeouts, grace periods, slots that are short and heartbeats carried names such as rest, patience, hungry or beat.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -106,8 +106,8 @@
     """Send a heartbeat to each peer, take one from each, and return the bytes sent."""
     sent = 0
     for name in table.members:
-        beat = encode_heartbeat(make_heartbeat(table, name, now))
-        envelope = Envelope(kind=Kind.HEARTBEAT, sender=table.name, body=beat)
+        heartbeat = encode_heartbeat(make_heartbeat(table, name, now))
+        envelope = Envelope(kind=Kind.HEARTBEAT, sender=table.name, body=heartbeat)
         data = encode_envelope(envelope, KEY)
         sent += len(data) + DATAGRAM_HEADER_BYTES
         received = decode_envelope(data, KEY)
--- a/src/chervilstage/coordination/flow_events.py
+++ b/src/chervilstage/coordination/flow_events.py
@@ -33,9 +33,9 @@
 from .view_rounds import run_rounds, take_prepared
 
 TICK_SECONDS = 0.02
-# At rest the loop wakes less often: 50 turns a second cost over 1 % of a core, of the
-# 3.5 % that an entry may spend on control.
-REST_TICK_SECONDS = 0.1
+# An idle loop wakes less often: 50 turns a second cost over 1 % of a core, of the 3.5 %
+# that an entry may spend on control.
+IDLE_TICK_SECONDS = 0.1
 
 
 def take_flow_message(
@@ -67,7 +67,7 @@
             return []
 
 
-def is_at_rest(state: FlowState) -> bool:
+def is_idle(state: FlowState) -> bool:
     """Tell whether nothing about flows is under way."""
     under_way = (
         state.pending,
@@ -80,7 +80,7 @@
 
 
 def run_flows(state: FlowState, now: float) -> list[FlowEffect]:
-    """Do what is due; called every ``TICK_SECONDS``, at rest more rarely."""
+    """Do what is due; called every ``TICK_SECONDS``, more rarely while idle."""
     _notice_pause(state, now)
     state.ticked_at = now
     effects = run_rounds(state, now)
--- a/src/chervilstage/coordination/lease_owner.py
+++ b/src/chervilstage/coordination/lease_owner.py
@@ -157,12 +157,12 @@
     if not is_open(book, table, now):
         limit = min(limit, book.known)
     holders = ramp_entries(book.ramp.stage, len(table.members) + 1)
-    wishes = divide(active, upstream_name(record), limit, holders)
+    targets = divide(active, upstream_name(record), limit, holders)
     changed = set()
     for name, claim in active.items():
         total = sum(c.occupied for c in book.claims.values())
         free = max(0, limit - total)
-        target = min(wishes.get(name, 0), claim.occupied + free)
+        target = min(targets.get(name, 0), claim.occupied + free)
         if target != claim.target:
             changed.add(name)
         occupied = max(claim.occupied, target)
@@ -185,12 +185,12 @@
     askers = sorted((n for n, c in claims.items() if c.want), key=order)[:holders]
     targets = dict.fromkeys(askers, 0)
     while limit > 0:
-        hungry = [n for n in askers if targets[n] < claims[n].want][:limit]
-        if not hungry:
+        short = [n for n in askers if targets[n] < claims[n].want][:limit]
+        if not short:
             break
-        for name in hungry:
+        for name in short:
             targets[name] += 1
-        limit -= len(hungry)
+        limit -= len(short)
     return targets
 
 
@@ -216,8 +216,8 @@
 
 def _expire(book: LeaseBook, now: float) -> None:
     for name, claim in list(book.claims.items()):
-        rest = IN_FLIGHT_SECONDS if claim.occupied else 0.0
-        if now >= claim.expires_at + rest:
+        grace = IN_FLIGHT_SECONDS if claim.occupied else 0.0
+        if now >= claim.expires_at + grace:
             del book.claims[name]
 
 
--- a/src/chervilstage/transport/change_calls.py
+++ b/src/chervilstage/transport/change_calls.py
@@ -33,7 +33,7 @@
 from .replica_driver import CHANGE_SECONDS, ReplicaDriver
 
 # A caller moves on to another replica after a second without an answer.
-PATIENCE_SECONDS = 0.8
+LEADER_WAIT_SECONDS = 0.8
 REPEAT_SECONDS = 0.05
 # A leader may be found soon. A change that its first leader has proposed is the same
 # one under its operation id when another leader gets it.
@@ -82,7 +82,7 @@
 
     async def call(self, kind: Kind, body: bytes) -> bytes:
         """Have the leader answer a call, waiting a moment while there is none."""
-        deadline = anyio.current_time() + PATIENCE_SECONDS
+        deadline = anyio.current_time() + LEADER_WAIT_SECONDS
         answer = await self.perform(kind, body)
         while answer.code in LEADERLESS and anyio.current_time() < deadline:
             await anyio.sleep(REPEAT_SECONDS * (0.5 + self.rng.random()))
--- a/src/chervilstage/transport/flow_link.py
+++ b/src/chervilstage/transport/flow_link.py
@@ -11,9 +11,9 @@
 
 from ..coordination.flow_effects import FlowEffect, Release, SendPeer
 from ..coordination.flow_events import (
-    REST_TICK_SECONDS,
+    IDLE_TICK_SECONDS,
     TICK_SECONDS,
-    is_at_rest,
+    is_idle,
     run_flows,
     take_flow_message,
     take_member_event,
@@ -72,7 +72,7 @@
                     self.link.send(peer, KINDS[type(message)], body)
                 case Release(service=service, key=key, upstream=upstream):
                     self.release(service, key, upstream)
-        if not is_at_rest(self.state):
+        if not is_idle(self.state):
             self.wake()
         view = self.state.view.identity
         if view != self.logged:
@@ -85,7 +85,7 @@
             )
 
     def wake(self) -> None:
-        """Let the periodic work begin now if it rests."""
+        """Begin the periodic work now if the loop is idle."""
         self.woken.set()
 
     async def run(self) -> None:
@@ -95,9 +95,9 @@
             if is_handed_over(self.state):
                 self.handed_over.set()
             await anyio.sleep(TICK_SECONDS)
-            if is_at_rest(self.state):
+            if is_idle(self.state):
                 self.woken = anyio.Event()
-                with anyio.move_on_after(REST_TICK_SECONDS - TICK_SECONDS):
+                with anyio.move_on_after(IDLE_TICK_SECONDS - TICK_SECONDS):
                     await self.woken.wait()
 
     async def start(self, group: TaskGroup) -> None:
--- a/src/chervilstage/transport/routing_fetcher.py
+++ b/src/chervilstage/transport/routing_fetcher.py
@@ -49,7 +49,7 @@
         self.take = take
         self.sources: dict[Address, int] = {}
         self.wanted = 0
-        self.patience_seconds = FETCH_SECONDS
+        self.timeout_seconds = FETCH_SECONDS
         self.news = anyio.Event()
         self.rng = Random()
 
@@ -95,16 +95,16 @@
             if address is None:
                 return
             try:
-                self.take(await self.fetch(address, self.patience_seconds))
+                self.take(await self.fetch(address, self.timeout_seconds))
             except ChervilstageError as error:
                 self.sources.pop(address, None)
                 _log_failure(address, self.wanted, error)
-                self.patience_seconds = min(
-                    2 * self.patience_seconds, LONGEST_FETCH_SECONDS
+                self.timeout_seconds = min(
+                    2 * self.timeout_seconds, LONGEST_FETCH_SECONDS
                 )
                 await anyio.sleep(RETRY_SECONDS * (0.5 + self.rng.random()))
             else:
-                self.patience_seconds = FETCH_SECONDS
+                self.timeout_seconds = FETCH_SECONDS
 
     async def run(self) -> None:
         """Fetch each new version until cancelled."""
--- a/testing/coordination/test_membership.py
+++ b/testing/coordination/test_membership.py
@@ -41,10 +41,10 @@
         a, b = table_of("a", "b"), table_of("b", "a")
         now = 1.0
         for delay, delivered in steps:
-            beat = make_heartbeat(a, "b", now)
+            heartbeat = make_heartbeat(a, "b", now)
             reply_at = now + delay / 4
             if delivered:
-                receive_heartbeat(b, "a", beat, reply_at)
+                receive_heartbeat(b, "a", heartbeat, reply_at)
             reply = make_heartbeat(b, "a", reply_at)
             now += delay
             receive_heartbeat(a, "b", reply, now)
--- a/testing/soak/test_proxy.py
+++ b/testing/soak/test_proxy.py
@@ -11,7 +11,7 @@
 
 from .proxy import DELAY_SECONDS, Address, Fault, Link, serve
 
-PATIENCE_SECONDS = 5.0
+TIMEOUT_SECONDS = 5.0
 SHORT_SECONDS = 2 * DELAY_SECONDS
 WORD = b"word"
 
@@ -38,7 +38,7 @@
         )
         group.start_soon(target.serve, echo)
         group.start_soon(near.serve, lambda stream: serve(link, stream))
-        with anyio.fail_after(PATIENCE_SECONDS):
+        with anyio.fail_after(TIMEOUT_SECONDS):
             await step(link, lambda: anyio.connect_tcp(*link.listen))
         group.cancel_scope.cancel()
 
--- a/testing/support/upstream_fakes.py
+++ b/testing/support/upstream_fakes.py
@@ -256,16 +256,16 @@
     def heartbeat(self, entry: FakeEntry) -> None:
         """Send the heartbeats of one entry."""
         for name in entry.table.members:
-            beat = make_heartbeat(entry.table, name, self.clock(entry))
+            heartbeat = make_heartbeat(entry.table, name, self.clock(entry))
 
-            def deliver(target: str = name, beat: object = beat) -> None:
+            def deliver(target: str = name, heartbeat: object = heartbeat) -> None:
                 peer = self.entries.get(target)
                 if peer is None:
                     return
                 events = receive_heartbeat(
                     peer.table,
                     entry.name,
-                    beat,  # type: ignore[arg-type]
+                    heartbeat,  # type: ignore[arg-type]
                     self.clock(peer),
                 )
                 for event in events:
--- a/testing/transport/test_accepting.py
+++ b/testing/transport/test_accepting.py
@@ -14,7 +14,7 @@
 from chervilstage.transport.accepting import accept_until_stopped
 
 REQUEST = b"request"
-PATIENCE_SECONDS = 5.0
+TIMEOUT_SECONDS = 5.0
 WAITING_CONNECTIONS = 3
 STALLING_TASKS = 3
 STALLS = 12
@@ -37,7 +37,7 @@
 def open_unseen(listener: SocketListener) -> socket.socket:
     """Connect and send without giving the loop a chance to accept."""
     address = listener.extra(SocketAttribute.local_address)
-    caller = socket.create_connection(address, timeout=PATIENCE_SECONDS)
+    caller = socket.create_connection(address, timeout=TIMEOUT_SECONDS)
     caller.sendall(REQUEST)
     return caller
 
@@ -102,7 +102,7 @@
             listening.cancel()
             listener = await open_listener()
             async with anyio.create_task_group() as group, listener:
-                with anyio.move_on_after(PATIENCE_SECONDS) as scope:
+                with anyio.move_on_after(TIMEOUT_SECONDS) as scope:
                     await accept_until_stopped(listener, echo_once, group, listening)
             return scope.cancelled_caught
 
--- a/testing/transport/test_access.py
+++ b/testing/transport/test_access.py
@@ -56,8 +56,8 @@
     host = cell.entries[0].host
     revision = metric(host, "revision_in_force")
     report = MemberReport(incarnation=2**60, revision=99, view_number=99)
-    beat = encode_heartbeat(Heartbeat(sent_at=1.0, echo=0.0, report=report))
-    envelope = Envelope(kind=Kind.HEARTBEAT, sender="entry-2", body=beat)
+    heartbeat = encode_heartbeat(Heartbeat(sent_at=1.0, echo=0.0, report=report))
+    envelope = Envelope(kind=Kind.HEARTBEAT, sender="entry-2", body=heartbeat)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.sendto(encode_envelope(envelope, WRONG_KEY), (host, PEER_PORT))
         sock.sendto(b"\x00" * 40, (host, PEER_PORT))
--- a/testing/transport/test_full_disks.py
+++ b/testing/transport/test_full_disks.py
@@ -19,7 +19,7 @@
 # The operator's wait for an acknowledgement on the users' pages is 5 s at least.
 ACKNOWLEDGED_SECONDS = 4.5
 # An operator moves on to another replica after a second without an answer.
-PATIENCE_SECONDS = 1.0
+TIMEOUT_SECONDS = 1.0
 FULL_SECONDS = (0.3, 1.8)
 CHANGE_PAUSE_SECONDS = 0.1
 NUMBER_OF_IO_ERROR = 5
@@ -102,7 +102,7 @@
         leader = leader_of(cell)
         await leader.changes.submit(change_without_base("before"))
         leader.disk.fill()
-        with anyio.fail_after(PATIENCE_SECONDS):
+        with anyio.fail_after(TIMEOUT_SECONDS):
             outcome = await leader.changes.submit(change_without_base("during"))
         assert not outcome.code
         assert cell.leader() is not leader
@@ -119,7 +119,7 @@
         node.disk.fill({REMOVE}, spared=1)
         for number in range(20):
             change = change_without_base(f"change-{number}")
-            await cell.order(change, PATIENCE_SECONDS)
+            await cell.order(change, TIMEOUT_SECONDS)
         node.disk.free()
         await cell.order(change_without_base("after"), ACKNOWLEDGED_SECONDS)
         assert not cell.refused
@@ -151,7 +151,7 @@
         leader.disk.fill()
         await cell.order(change_without_base("first"), ACKNOWLEDGED_SECONDS)
         leader.disk.fill(number=NUMBER_OF_IO_ERROR)
-        await anyio.sleep(2 * PATIENCE_SECONDS)
+        await anyio.sleep(2 * TIMEOUT_SECONDS)
 
     with pytest.raises(BaseExceptionGroup) as caught:
         run(cell, scenario)
@@ -171,7 +171,7 @@
             driver.take([unused] * 100)
 
         async with anyio.create_task_group() as group:
-            with anyio.fail_after(PATIENCE_SECONDS):
+            with anyio.fail_after(TIMEOUT_SECONDS):
                 group.start_soon(add_messages)
                 outcome = await driver.submit(change_without_base("first"))
         assert not outcome.code
@@ -188,7 +188,7 @@
     async def scenario(cell: DiskCell) -> None:
         await cell.until(lambda: not cell.problems(), "replica in touch")
         for number, node in enumerate(cell.nodes):
-            with anyio.fail_after(PATIENCE_SECONDS):
+            with anyio.fail_after(TIMEOUT_SECONDS):
                 change = change_without_base(f"change-{number}")
                 outcome = await node.changes.submit(change)
             assert not outcome.code
