--- a/src/chervilstage/transport/outcome_responses.py
+++ b/src/chervilstage/transport/outcome_responses.py
@@ -32,10 +32,10 @@
     AnswerCrossedError: 504,
     AnswerUnboundedError: 504,
 }
-# What is said of these holds for every attempt. A request that was not read, or
+# These outcomes hold for every attempt of the key. A request that was not read, or
 # that was refused by its form, may carry a key that ran before.
 NEVER_RUN = (KeyMalformedError, RequestNotRunError)
-UNSAID = (
+OUTCOME_NOT_TOLD = (
     ConnectionLimitError,
     HeaderTooLargeError,
     KeyReusedError,
@@ -48,7 +48,7 @@
     response = error_response(STATUS_OF.get(type(error), 400), error)
     if isinstance(error, NEVER_RUN):
         return _with_outcome(response, NOT_RUN)
-    if isinstance(error, UNSAID):
+    if isinstance(error, OUTCOME_NOT_TOLD):
         return response
     return _with_outcome(response, UNKNOWN)
 
--- a/testing/coordination/test_leases.py
+++ b/testing/coordination/test_leases.py
@@ -107,7 +107,7 @@
         self.load.run(2)
 
     @rule(loss=st.sampled_from([0.0, 0.1]), delay=st.sampled_from([0.02, 0.2]))
-    def weather(self, loss: float, delay: float) -> None:
+    def vary_network(self, loss: float, delay: float) -> None:
         self.group.network.loss = loss
         self.group.network.most_delay = delay
 
--- a/testing/coordination/test_record_ownership.py
+++ b/testing/coordination/test_record_ownership.py
@@ -17,12 +17,12 @@
 from chervilstage.state.epoch import Epoch
 from chervilstage.state.outcomes import Answered, NotRun
 from chervilstage.state.request_records import RequestKey
-from testing.support.request_fakes import World
+from testing.support.request_fakes import RequestGroup
 
 LAYOUT = {"a1": "gl-erie", "a2": "gl-erie", "b1": "gl-huron", "b2": "gl-huron"}
 WIDE = {**LAYOUT, "a3": "gl-erie"}
 ENTRIES = st.integers(0, 4)
-FATES = st.sampled_from(["run", "run", "run", "refuse", "lose answer", ""])
+REACTIONS = st.sampled_from(["run", "run", "run", "refuse", "lose answer", ""])
 PAUSES = st.sampled_from([0.0, 0.5, 1.5, 3.0])
 FAULTS = st.sampled_from(["", "", "lose", "freeze", "cut", "restart"])
 TARGETS = st.sampled_from(["owner", "owner", "second", "second", "both", "others"])
@@ -34,15 +34,15 @@
 
     @initialize(seed=st.integers(0, 2**32), layout=st.sampled_from([LAYOUT, WIDE]))
     def begin(self, seed: int, layout: dict[str, str]) -> None:
-        self.world = World(layout=layout, seed=seed)
+        self.group = RequestGroup(layout=layout, seed=seed)
         self.keys: list[RequestKey] = []
         self.attempts: Counter[str] = Counter()
-        self.world.advance(6.0)
+        self.group.advance(6.0)
 
     @rule(
         home=st.sampled_from(["gl-erie", "gl-erie", "gl-huron"]),
         entry=ENTRIES,
-        fate=FATES,
+        reaction=REACTIONS,
         ahead_ms=st.sampled_from([0, 0, 1900]),
         before=FAULTS,
         struck=TARGETS,
@@ -51,37 +51,37 @@
         self,
         home: str,
         entry: int,
-        fate: str,
+        reaction: str,
         ahead_ms: int,
         before: str,
         struck: str,
     ) -> None:
-        stamp_ms = self.world.now_ms() + ahead_ms
+        stamp_ms = self.group.now_ms() + ahead_ms
         text = f"v1.{stamp_ms}.{home}.{len(self.keys)}"
         self.keys.append(RequestKey(text=text, stamp_ms=stamp_ms, home=home))
         self.cause(before, struck)
-        self.ask(self.keys[-1], entry, fate)
+        self.ask(self.keys[-1], entry, reaction)
 
     @precondition(lambda self: bool(self.keys))
-    @rule(position=st.sampled_from([0, 0, 0, 1, 2]), entry=ENTRIES, fate=FATES)
-    def retry(self, position: int, entry: int, fate: str) -> None:
+    @rule(position=st.sampled_from([0, 0, 0, 1, 2]), entry=ENTRIES, reaction=REACTIONS)
+    def retry(self, position: int, entry: int, reaction: str) -> None:
         key = self.keys[-1 - position % len(self.keys)]
-        pending = self.world.asks.get(key.text)
-        if pending and self.world.now < pending.expires:
-            self.world.advance(pending.expires - self.world.now)
-        self.ask(key, entry, fate)
+        pending = self.group.asks.get(key.text)
+        if pending and self.group.now < pending.expires:
+            self.group.advance(pending.expires - self.group.now)
+        self.ask(key, entry, reaction)
 
-    def ask(self, key: RequestKey, entry: int, fate: str) -> None:
-        names = sorted(self.world.layout)
+    def ask(self, key: RequestKey, entry: int, reaction: str) -> None:
+        names = sorted(self.group.layout)
         self.attempts[key.text] += 1
-        self.world.ask(key, self.attempts[key.text], names[entry % len(names)])
-        self.world.deliver()
-        if fate:
-            for copier in self.world.entries.values():
+        self.group.ask(key, self.attempts[key.text], names[entry % len(names)])
+        self.group.deliver()
+        if reaction:
+            for copier in self.group.entries.values():
                 if not copier.frozen:
-                    self.world.give_up_copies(copier)
-            self.world.upstream(fate)
-        self.world.deliver()
+                    self.group.give_up_copies(copier)
+            self.group.upstream(reaction)
+        self.group.deliver()
 
     @rule(
         home=st.sampled_from(["gl-erie", "gl-erie", "gl-huron"]),
@@ -91,7 +91,7 @@
         seconds=st.sampled_from([0.5, 1.5, 3.0]),
         repaired=st.sampled_from(["", "healed", "restarted"]),
     )
-    def attempt_in_crisis(
+    def attempt_between_faults(
         self,
         home: str,
         entries: tuple[int, int],
@@ -100,75 +100,75 @@
         seconds: float,
         repaired: str,
     ) -> None:
-        """Strike before and after a first attempt, then retry twice."""
+        """Cause a fault before and after a first attempt, then retry twice."""
         self.first_attempt(home, entries[0], "run", 0, faults[0], struck[0])
         self.cause(faults[1], struck[1])
-        self.world.advance(seconds)
+        self.group.advance(seconds)
         if repaired:
             self.repair(1.5, repaired == "restarted")
         for _ in range(2):
             self.retry(0, entries[1], "run")
-            self.world.advance(seconds)
+            self.group.advance(seconds)
 
     @precondition(lambda self: bool(self.keys))
     @rule(fault=FAULTS, struck=TARGETS, seconds=PAUSES)
     def fault(self, fault: str, struck: str, seconds: float) -> None:
         self.cause(fault, struck)
-        self.world.advance(seconds)
+        self.group.advance(seconds)
 
     def cause(self, fault: str, struck: str) -> None:
         """Strike holders of the last key, by the widest epoch that is in force."""
-        world = self.world
-        known = (e.state.current for e in world.entries.values())
+        group = self.group
+        known = (e.state.current for e in group.entries.values())
         epoch = max(known, key=lambda e: len(e.members), default=Epoch())
         found = holders(epoch, self.keys[-1])
-        names = [m.name for m in found or () if m] or sorted(world.layout)[:2]
+        names = [m.name for m in found or () if m] or sorted(group.layout)[:2]
         if struck == "others":
-            names = sorted(set(world.layout) - set(names))
+            names = sorted(set(group.layout) - set(names))
         elif struck != "both":
             names = names[:1] if struck == "owner" else names[-1:]
         for name in names:
             if fault == "lose":
-                world.entries.pop(name, None)
+                group.entries.pop(name, None)
             elif fault == "restart":
-                world.start(name)
-            elif fault == "freeze" and name in world.entries:
-                world.entries[name].frozen = True
+                group.start(name)
+            elif fault == "freeze" and name in group.entries:
+                group.entries[name].frozen = True
         if fault == "cut":
-            rest = set(world.layout) - set(names)
-            world.cut |= {frozenset((a, b)) for a in names for b in rest}
+            rest = set(group.layout) - set(names)
+            group.cut |= {frozenset((a, b)) for a in names for b in rest}
 
-    @rule(fate=FATES)
-    def upstream(self, fate: str) -> None:
-        self.world.upstream(fate)
-        self.world.deliver()
+    @rule(reaction=REACTIONS)
+    def upstream(self, reaction: str) -> None:
+        self.group.upstream(reaction)
+        self.group.deliver()
 
     @rule(seconds=PAUSES)
     def advance(self, seconds: float) -> None:
-        self.world.advance(seconds)
+        self.group.advance(seconds)
 
     @rule(seconds=REPAIR_SECONDS, restart=st.sampled_from([True, True, False]))
     def repair(self, seconds: float, restart: bool) -> None:
-        world = self.world
-        world.cut.clear()
-        for name in world.layout:
-            if name in world.entries:
-                world.entries[name].frozen = False
+        group = self.group
+        group.cut.clear()
+        for name in group.layout:
+            if name in group.entries:
+                group.entries[name].frozen = False
             elif restart:
-                world.start(name)
-        world.deliver()
-        world.advance(seconds)
+                group.start(name)
+        group.deliver()
+        group.advance(seconds)
 
     @invariant()
     def work_runs_at_most_once(self) -> None:
-        world = getattr(self, "world", None)
-        doubled = {k: n for k, n in world.runs.items() if n > 1} if world else {}
+        group = getattr(self, "group", None)
+        doubled = {k: n for k, n in group.runs.items() if n > 1} if group else {}
         assert not doubled, f"keys run more than once: {doubled}"
 
     @invariant()
     def an_answered_key_keeps_its_answer(self) -> None:
         for key in getattr(self, "keys", []):
-            outcomes = [o for _, o in self.world.outcomes[key.text]]
+            outcomes = [o for _, o in self.group.outcomes[key.text]]
             answers = {o.answer.body for o in outcomes if isinstance(o, Answered)}
             assert len(answers) <= 1, f"{key.text} had answers {answers}"
             first = next((o for o in outcomes if isinstance(o, Answered)), None)
@@ -179,9 +179,9 @@
     @invariant()
     def not_run_is_true(self) -> None:
         for key in getattr(self, "keys", []):
-            for attempt, outcome in self.world.outcomes[key.text]:
+            for attempt, outcome in self.group.outcomes[key.text]:
                 if isinstance(outcome, NotRun) and attempt == self.attempts[key.text]:
-                    runs = self.world.runs[key.text]
+                    runs = self.group.runs[key.text]
                     assert not runs, f"{key.text} ran but {outcome} was said"
 
 
--- a/testing/coordination/test_registration.py
+++ b/testing/coordination/test_registration.py
@@ -71,7 +71,7 @@
             self.group.announce(entry, self.past[index % len(self.past)])
 
     @rule(loss=st.sampled_from([0.0, 0.3, 0.6]), doubled=st.sampled_from([0.0, 0.5]))
-    def weather(self, loss: float, doubled: float) -> None:
+    def vary_network(self, loss: float, doubled: float) -> None:
         self.group.network.loss = loss
         self.group.network.duplication = doubled
         self.group.network.most_delay = 0.4
@@ -96,7 +96,7 @@
             entry.left = heard  # type: ignore[attr-defined]
 
     @rule()
-    def calm(self) -> None:
+    def converge(self) -> None:
         """Without loss or cuts all entries come to hold the same records."""
         network = self.group.network
         network.loss, network.duplication, network.side = 0.0, 0.0, frozenset()
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -137,8 +137,8 @@
     await listener.serve(lambda near: serve(link, near))
 
 
-async def obey(links: dict[str, Link]) -> None:
-    """Carry out the commands of standard input until it ends."""
+async def apply_commands(links: dict[str, Link]) -> None:
+    """Set the faults that lines of standard input name, until it ends."""
     descriptor = sys.stdin.fileno()
     pending = b""
     while True:
@@ -169,7 +169,7 @@
     async with anyio.create_task_group() as group:
         for link in links.values():
             group.start_soon(listen, link)
-        await obey(links)
+        await apply_commands(links)
         group.cancel_scope.cancel()
 
 
--- a/testing/support/request_fakes.py
+++ b/testing/support/request_fakes.py
@@ -64,7 +64,7 @@
         self.pushed: set[tuple[int, str]] = set()
 
 
-class World:
+class RequestGroup:
     """The entries and everything between them; every step is one method."""
 
     def __init__(self, *, layout: dict[str, str], seed: int) -> None:
@@ -278,14 +278,14 @@
         for record in list(entry.copying.values()):
             self.end_copying(entry, record, False)
 
-    def upstream(self, fate: str) -> None:
+    def upstream(self, reaction: str) -> None:
         """Let the upstream treat the oldest request: run, refuse, or lose it."""
         if not self.sent:
             return
         entry, record = self.sent.pop(0)
         text = record.key.text
         running = self.entries.get(entry.state.own.name) is entry
-        if fate == "refuse":
+        if reaction == "refuse":
             if running:
                 ownership.reopen(entry.table, record)
                 self.finish(entry, record, NotRun(reason="refused"))
@@ -293,7 +293,7 @@
         self.runs[text] += 1
         if not running:
             return
-        if fate == "lose answer":
+        if reaction == "lose answer":
             self.finish(entry, record, Unknown(reason="lost"))
             return
         body = f"{text} run {self.runs[text]}".encode()
