--- a/src/chervilstage/programs/ctl.py
+++ b/src/chervilstage/programs/ctl.py
@@ -18,15 +18,14 @@
 from .ctl_reports import register
 from .ctl_session import (
     EXIT_BAD_INPUT,
-    OperationOption,
-    OperatorOption,
+    ChangeOrigin,
     RevisionOption,
     Session,
     call,
     console,
     print_json,
     submit,
-    with_session,
+    with_shared_options,
 )
 
 app = typer.Typer(
@@ -90,7 +89,7 @@
 
 
 @app.command()
-@with_session
+@with_shared_options
 def diff(inventory: InventoryArgument, rules: RulesArgument, session: Session) -> None:
     """Show what applying the files would change."""
     wanted = read_documents(inventory, rules)
@@ -108,14 +107,13 @@
 
 
 @app.command()
-@with_session
+@with_shared_options
 def apply(
     inventory: InventoryArgument,
     rules: RulesArgument,
     session: Session,
-    operator: OperatorOption,
+    origin: ChangeOrigin,
     from_revision: RevisionOption = None,
-    operation_id: OperationOption = None,
 ) -> None:
     """Put an inventory and rules in force."""
     wanted = read_documents(inventory, rules)
@@ -126,17 +124,11 @@
             inventory=wanted.inventory, rules=wanted.rules, out=wanted.out
         )
 
-    submit(
-        session,
-        edit,
-        operator=operator,
-        operation_id=operation_id,
-        from_revision=from_revision,
-    )
+    submit(session, edit, origin, from_revision)
 
 
 @app.command()
-@with_session
+@with_shared_options
 def show(session: Session) -> None:
     """Show the newest accepted configuration."""
     configuration = call(session.client.configuration)
@@ -153,36 +145,28 @@
 
 
 @app.command()
-@with_session
+@with_shared_options
 def out(
-    data_centre: DataCentreArgument,
-    session: Session,
-    operator: OperatorOption,
-    operation_id: OperationOption = None,
+    data_centre: DataCentreArgument, session: Session, origin: ChangeOrigin
 ) -> None:
     """Take a data centre out of service; its flows end."""
     submit(
         session,
         lambda base, change: change._replace(out=base.out | {data_centre}),
-        operator=operator,
-        operation_id=operation_id,
+        origin,
     )
 
 
 @app.command()
-@with_session
+@with_shared_options
 def back(
-    data_centre: DataCentreArgument,
-    session: Session,
-    operator: OperatorOption,
-    operation_id: OperationOption = None,
+    data_centre: DataCentreArgument, session: Session, origin: ChangeOrigin
 ) -> None:
     """Bring a data centre back into service."""
     submit(
         session,
         lambda base, change: change._replace(out=base.out - {data_centre}),
-        operator=operator,
-        operation_id=operation_id,
+        origin,
     )
 
 
--- a/src/chervilstage/programs/ctl_reports.py
+++ b/src/chervilstage/programs/ctl_reports.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-import uuid
 from datetime import UTC, datetime
 from functools import partial
 from typing import Annotated, Any
@@ -14,14 +13,13 @@
 from ..state.configuration import ChangeOutcome
 from .addresses import parse_address
 from .ctl_session import (
-    OperationOption,
-    OperatorOption,
+    ChangeOrigin,
     Session,
     call,
     console,
     print_json,
     print_outcome,
-    with_session,
+    with_shared_options,
 )
 
 WATCH_SECONDS = 2.0
@@ -39,7 +37,7 @@
 ]
 
 
-@with_session
+@with_shared_options
 def status(
     session: Session,
     watch: Annotated[
@@ -104,7 +102,7 @@
     return table
 
 
-@with_session
+@with_shared_options
 def audit(
     session: Session,
     since: TimeOption = None,
@@ -149,7 +147,7 @@
     return table
 
 
-@with_session
+@with_shared_options
 def explain(
     service: Annotated[str, typer.Argument(help="Name of the service.")],
     flow: Annotated[str, typer.Argument(help="HOST:PORT of the caller.")],
@@ -192,7 +190,7 @@
 
 
 @members.command("list")
-@with_session
+@with_shared_options
 def members_list(session: Session) -> None:
     """Show the control replicas."""
     document = call(partial(session.client.read, "/v1/members"))
@@ -224,13 +222,11 @@
     action: str,
     name: str,
     address: str,
-    operator: str,
-    operation_id: str | None,
+    origin: ChangeOrigin,
 ) -> None:
     """Submit a change of the set of replicas and print its outcome."""
     document: dict[str, object] = {
-        "operation_id": operation_id or str(uuid.uuid4()),
-        "operator": operator,
+        **origin._asdict(),
         "action": action,
         "name": name,
     }
@@ -242,41 +238,38 @@
 
 
 @members.command("add")
-@with_session
+@with_shared_options
 def members_add(
     name: NameArgument,
     address: AddressArgument,
     session: Session,
-    operator: OperatorOption,
-    operation_id: OperationOption = None,
+    origin: ChangeOrigin,
 ) -> None:
     """Add a replica; it votes once it holds the whole log."""
-    change_members(session, "add", name, address, operator, operation_id)
+    change_members(session, "add", name, address, origin)
 
 
 @members.command("remove")
-@with_session
+@with_shared_options
 def members_remove(
     name: NameArgument,
     session: Session,
-    operator: OperatorOption,
-    operation_id: OperationOption = None,
+    origin: ChangeOrigin,
 ) -> None:
     """Remove a replica."""
-    change_members(session, "remove", name, "", operator, operation_id)
+    change_members(session, "remove", name, "", origin)
 
 
 @members.command("replace")
-@with_session
+@with_shared_options
 def members_replace(
     name: NameArgument,
     address: AddressArgument,
     session: Session,
-    operator: OperatorOption,
-    operation_id: OperationOption = None,
+    origin: ChangeOrigin,
 ) -> None:
     """Put a replica with a blank disk in the place of the one of that name."""
-    change_members(session, "replace", name, address, operator, operation_id)
+    change_members(session, "replace", name, address, origin)
 
 
 def _number(value: float | None) -> str:
--- a/src/chervilstage/programs/ctl_session.py
+++ b/src/chervilstage/programs/ctl_session.py
@@ -119,24 +119,58 @@
     return Session(client=client, as_json=as_json)
 
 
-def with_session(command: Callable[..., None]) -> Callable[..., None]:
-    """Return a command that takes the options of a session in place of ``session``."""
-    shared = inspect.signature(open_session, eval_str=True).parameters
+class ChangeOrigin(NamedTuple):
+    """Who makes a change, and the id under which it may be sent again."""
+
+    operator: str
+    operation_id: str
+
+
+def change_origin(
+    operator: OperatorOption, operation_id: OperationOption = None
+) -> ChangeOrigin:
+    """Return the origin of a change; it gets a new id unless one is given."""
+    return ChangeOrigin(
+        operator=operator, operation_id=operation_id or str(uuid.uuid4())
+    )
+
+
+# What a command may take as a parameter of that name, and the options it is made of.
+SHARED_PARAMETERS: dict[str, Callable[..., Any]] = {
+    "origin": change_origin,
+    "session": open_session,
+}
+
+
+def with_shared_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Return a command that takes options in place of ``SHARED_PARAMETERS``."""
     own = inspect.signature(command, eval_str=True).parameters
-    parameters = [
-        parameter.replace(kind=inspect.Parameter.KEYWORD_ONLY)
-        for name, parameter in (own | shared).items()
-        if name != "session"
+    shared = {
+        name: inspect.signature(build, eval_str=True).parameters
+        for name, build in SHARED_PARAMETERS.items()
+        if name in own
+    }
+    options = {name: option for name, option in own.items() if name not in shared}
+    for parameters in shared.values():
+        options |= parameters
+    keywords = [
+        option.replace(kind=inspect.Parameter.KEYWORD_ONLY)
+        for option in options.values()
     ]
 
     @wraps(command)
     def run(**values: Any) -> None:
-        """Open the session and run the command with it."""
-        session = open_session(**{name: values.pop(name) for name in shared})
-        command(session=session, **values)
-
-    run.__annotations__ = {p.name: p.annotation for p in parameters}
-    run.__dict__["__signature__"] = inspect.Signature(parameters)
+        """Build the shared parameters from their options and run the command."""
+        built = {
+            name: SHARED_PARAMETERS[name](
+                **{key: values.pop(key) for key in parameters}
+            )
+            for name, parameters in shared.items()
+        }
+        command(**built, **values)
+
+    run.__annotations__ = {option.name: option.annotation for option in keywords}
+    run.__dict__["__signature__"] = inspect.Signature(keywords)
     return run
 
 
@@ -168,9 +202,7 @@
 def submit(
     session: Session,
     edit: Callable[[Configuration, Change], Change],
-    *,
-    operator: str,
-    operation_id: str | None,
+    origin: ChangeOrigin,
     from_revision: int | None = None,
 ) -> None:
     """Submit a change that is made from the newest or the given revision.
@@ -182,8 +214,8 @@
         """Read the newest configuration and submit the change."""
         base = await session.client.configuration()
         change = Change(
-            operation_id=operation_id or str(uuid.uuid4()),
-            operator=operator,
+            operation_id=origin.operation_id,
+            operator=origin.operator,
             base_revision=base.revision if from_revision is None else from_revision,
         )
         return await session.client.submit(edit(base, change))
