--- a/testing/coordination/test_load_checks.py
+++ b/testing/coordination/test_load_checks.py
@@ -40,7 +40,7 @@
 WHOLE = RequestContent(body_bytes=4, body_hash="h", answer_bytes=10)
 EXPECTED = ExpectedAnswer(service="alley-desk", identity=OWN, content=WHOLE)
 ANSWER = RequestAnswer(upstream=FIRST, identity=OWN, content=WHOLE, run=1)
-PLANTED = [
+FAULTY_ANSWERS = [
     (ANSWER._replace(identity=OWN._replace(request="bookings-2")), Fault.NOT_OWN),
     (ANSWER._replace(identity=OWN._replace(key="v1.1.gl-erie.b")), Fault.NOT_OWN),
     (ANSWER._replace(identity=OWN._replace(target="/other")), Fault.NOT_OWN),
@@ -95,7 +95,7 @@
         self.assertThat(check_answer(EXPECTED, ANSWER, 1.0), Equals([]))
 
     def test_each_planted_fault_is_found(self) -> None:
-        for answer, fault in PLANTED:
+        for answer, fault in FAULTY_ANSWERS:
             findings = check_answer(EXPECTED, answer, 1.0)
             self.assertThat([f.fault for f in findings], Equals([fault]))
 
