Keep a voter that is replaced as a learner

Cause: the silent voter left the set, so the leader sent it nothing more, and it could name no leader. The steps still change one voter each.

--- a/src/chervilstage/coordination/replica_members.py
+++ b/src/chervilstage/coordination/replica_members.py
@@ -6,8 +6,9 @@
 
 Where replicas keep the number of voters up by themselves, each one that asks enters as
 a learner. A learner hears the leader, so that it can hand calls over. It holds the log,
-so that it can replace a voter that is silent for some time: the silent voter leaves,
-then the learner votes. Each step needs a majority of the set before it.
+so that it can replace a voter that is silent for some time: the silent voter becomes a
+learner, since it may still hear, then the other one votes. A learner that is silent for
+longer leaves. Each step needs a majority of the set before it.
 """
 
 from __future__ import annotations
@@ -170,8 +171,9 @@
             text = f"replica {learner.name} has caught up and votes"
             return _propose_set(replica, wanted, text, now, at)
         for silent in silent_voters(replica, now):
-            text = f"replica {silent.name} is silent and leaves for {learner.name}"
-            return _propose_set(replica, members.without(silent.name), text, now, at)
+            wanted = members.with_member(silent._replace(voter=False))
+            text = f"replica {silent.name} is silent, {learner.name} takes its vote"
+            return _propose_set(replica, wanted, text, now, at)
     return []
 
 
--- a/testing/coordination/test_replica_succession.py
+++ b/testing/coordination/test_replica_succession.py
@@ -54,6 +54,17 @@
         self.accept("second", 1)
         self.assertThat(revision_of(self.cell.nodes["d"]), Equals(2))
 
+    def test_a_lost_voter_leaves_the_set_in_the_end(self) -> None:
+        """Guards against learners that are gone and fill the places of others."""
+        lost = self.leader()
+        self.lose(lost)
+        self.cell.add_node("d")
+        self.cell.advance(14.0)
+        replica = self.leader().replica
+        assert replica is not None
+        names = {member.name for member in replica.members.members}
+        self.assertThat(names, Equals({*NAMES, "d"} - {lost.name}))
+
     def test_a_new_replica_waits_while_all_voters_are_heard(self) -> None:
         self.cell.add_node("d")
         self.cell.advance(6.0)
--- a/testing/transport/test_full_disks.py
+++ b/testing/transport/test_full_disks.py
@@ -22,6 +22,9 @@
 PATIENCE_SECONDS = 1.0
 FULL_SECONDS = (0.3, 1.8)
 CHANGE_PAUSE_SECONDS = 0.1
+# Longer than it takes until a silent voter is replaced and asks for a place again.
+CALLS_WHILE_FULL = 20
+CALL_PAUSE_SECONDS = 0.25
 NUMBER_OF_IO_ERROR = 5
 SEEDS = (3, 4)
 
@@ -110,6 +113,31 @@
     run(cell, scenario)
 
 
+def test_a_voter_replaced_while_its_disk_is_full_hands_calls_to_the_leader(
+    tmp_path: Path,
+) -> None:
+    """Guards against calls refused by a replica that is no longer told who leads."""
+    cell = DiskCell(folder=tmp_path, count=4, size=3, seed=1)
+
+    async def scenario(cell: DiskCell) -> None:
+        await cell.until(lambda: not cell.problems(), "replica in touch")
+        voter = next(n for n in cell.nodes if n.replica.is_voter() and not n.leads())
+        voter.disk.fill()
+        for number in range(CALLS_WHILE_FULL):
+            with anyio.fail_after(PATIENCE_SECONDS):
+                change = change_without_base(f"change-{number}")
+                outcome = await voter.changes.submit(change)
+            assert not outcome.code
+            await anyio.sleep(CALL_PAUSE_SECONDS)
+        voters = leader_of(cell).replica.members.voters()
+        assert len(voters) == cell.size
+        assert voter.replica.identity not in voters
+        voter.disk.free()
+        await cell.until(lambda: not cell.problems(), "replica in touch")
+
+    run(cell, scenario)
+
+
 def test_a_file_that_cannot_be_removed_keeps_no_replica_out(tmp_path: Path) -> None:
     """Guards against a saved state that a failed clean-up makes look unsaved."""
     cell = DiskCell(folder=tmp_path, count=1, size=1, seed=1)
