Test deaths and losses of power of replicas while a disk is full

The random series of full disks had no process that dies, and its disk kept what was never synced. Now a disk follows what was synced: a process dies at a random operation, alone, with the full one or with all others, and after a loss of power each unsynced write, part of a write and name is kept or lost.

--- a/testing/support/disk_cell.py
+++ b/testing/support/disk_cell.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import io
 import itertools
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
 from typing import NamedTuple
 
 import anyio
-from anyio.abc import TaskGroup
+from anyio import CancelScope
+from anyio.abc import TaskGroup, TaskStatus
 
 from chervilstage.coordination.replica_terms import knows_majority, lease_holds
 from chervilstage.errors import ChervilstageError
@@ -26,7 +29,7 @@
 from chervilstage.transport.replica_formation import ReplicaFormation
 from chervilstage.transport.replica_links import ReplicaLinks
 
-from .full_disks import FullDisk
+from .full_disks import FullDisk, ProcessDeathError
 
 KEY = b"k" * 32
 PORT = 7720
@@ -38,12 +41,23 @@
 LONGEST_PAUSE_SECONDS = 0.5
 
 
+class EndingFrameServer(FrameServer):
+    """A server whose address another one can take later in this process."""
+
+    async def start(self, group: TaskGroup) -> None:
+        """Bind the address and begin to accept."""
+        self.listener = await anyio.create_tcp_listener(
+            local_host=self.address.host, local_port=self.address.port
+        )
+        group.start_soon(self.listener.serve, self.serve_connection)
+
+
 class DiskNode(NamedTuple):
     """One replica process."""
 
     disk: FullDisk
     client: FrameClient
-    frames: FrameServer
+    frames: EndingFrameServer
     driver: ReplicaDriver
     formation: ReplicaFormation
     changes: ChangeCalls
@@ -58,11 +72,32 @@
         """Return the revision that this replica has applied."""
         return self.replica.applied.configuration.revision
 
+    async def end(self) -> None:
+        """Leave disk and network as a process that dies: what it buffers is gone."""
+        file = self.driver.store.file
+        if isinstance(file, io.BufferedIOBase) and not isinstance(file, io.BytesIO):
+            file.raw.close()
+        os.close(self.driver.store.lock)
+        with CancelScope(shield=True):
+            await self.frames.listener.aclose()
+            await self.client.stop()
+
     def leads(self) -> bool:
         """Tell whether this replica answers as the leader."""
         return lease_holds(self.replica, replica_clock())
 
 
+@contextmanager
+def suppress_death() -> Iterator[None]:
+    """Take the death of one process as its end, and any other error as a failure."""
+    try:
+        yield
+    except BaseExceptionGroup as error:
+        _, others = error.split(ProcessDeathError)
+        if others is not None:
+            raise others from None
+
+
 def free_addresses(count: int) -> list[Address]:
     """Return loopback addresses that no other process and no connection uses."""
     cell = next(CELLS)
@@ -85,25 +120,61 @@
             for number, address in enumerate(free_addresses(count))
         ]
         self.nodes: list[DiskNode] = []
+        self.group: TaskGroup | None = None
+        self.scopes: dict[int, CancelScope] = {}
         self.told: dict[str, float] = {}
         self.refused: list[str] = []
 
     async def start(self, group: TaskGroup) -> None:
         """Start all replicas and wait until the set has its size."""
+        self.group = group
         self.nodes = [self.make_node(n) for n in range(len(self.peers))]
-        for node in self.nodes:
-            await node.frames.start(group)
-        for node in self.nodes:
-            await node.driver.start(group)
-            await node.formation.start(group)
+        for number in range(len(self.peers)):
+            await group.start(self.live, number)
         await self.until(lambda: self.leader() is not None, "a leader")
 
-    def make_node(self, number: int) -> DiskNode:
+    async def live(
+        self,
+        number: int,
+        *,
+        task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run a replica until it is killed or dies at an operation of its disk."""
+        node = self.nodes[number]
+        with suppress_death():
+            async with anyio.create_task_group() as group:
+                self.scopes[number] = group.cancel_scope
+                await node.frames.start(group)
+                await node.driver.start(group)
+                await node.formation.start(group)
+                task_status.started()
+        await node.end()
+        del self.scopes[number]
+
+    async def kill(self, number: int) -> None:
+        """Kill a replica unless it has died already."""
+        scope = self.scopes.get(number)
+        if scope is not None:
+            scope.cancel()
+        await self.until(lambda: number not in self.scopes, "end of a process")
+
+    async def restart(self, number: int) -> None:
+        """Start a replica that was killed from its disk."""
+        assert self.group is not None
+        self.disks[number].operations_left = None
+        self.nodes[number] = self.make_node(number, may_form=False)
+        await self.group.start(self.live, number)
+
+    def running(self) -> list[DiskNode]:
+        """Return the replicas that run."""
+        return [self.nodes[number] for number in sorted(self.scopes)]
+
+    def make_node(self, number: int, may_form: bool = True) -> DiskNode:
         """Return a replica on its disk."""
         own, disk = self.peers[number], self.disks[number]
         counters = Counters()
         client = FrameClient(name=own.name, key=KEY, counters=counters)
-        frames = FrameServer(
+        frames = EndingFrameServer(
             name=own.name, address=own.address, key=KEY, counters=counters
         )
         store = LogStore(
@@ -121,7 +192,7 @@
         formation = ReplicaFormation(
             own=own,
             listed=lambda: self.peers[: self.size],
-            may_form=True,
+            may_form=may_form,
             driver=driver,
             client=client,
             frames=frames,
@@ -138,7 +209,7 @@
 
     def leader(self) -> DiskNode | None:
         """Return the leader."""
-        return next((node for node in self.nodes if node.leads()), None)
+        return next((node for node in self.running() if node.leads()), None)
 
     async def until(
         self, holds: Callable[[], bool], what: str, seconds: float = 6.0
@@ -157,15 +228,19 @@
         started = anyio.current_time()
         pause = PAUSE_SECONDS
         with anyio.move_on_after(seconds):
-            while not await self.has_acknowledged(self.rng.choice(self.nodes), change):
+            while not await self.has_acknowledged(change):
                 await anyio.sleep(pause)
                 pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
             self.told[change.operation_id] = anyio.current_time() - started
             return
         self.refused.append(change.operation_id)
 
-    async def has_acknowledged(self, node: DiskNode, change: Change) -> bool:
-        """Call a replica and tell whether it has acknowledged a change in time."""
+    async def has_acknowledged(self, change: Change) -> bool:
+        """Call any replica and tell whether it has acknowledged a change in time."""
+        number = self.rng.randrange(len(self.nodes))
+        if number not in self.scopes:
+            return False
+        node = self.nodes[number]
         with anyio.move_on_after(CALL_SECONDS):
             try:
                 outcome = await node.changes.submit(change)
@@ -173,7 +248,7 @@
                 assert error.retryable, error
                 return False
             assert not outcome.code, outcome
-            return True
+            return number in self.scopes
         return False
 
     def problems(self) -> list[str]:
--- a/testing/support/full_disks.py
+++ b/testing/support/full_disks.py
@@ -6,17 +6,23 @@
 import io
 import os
 from collections.abc import Callable, Collection, Iterator, Mapping
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from random import Random
 from typing import Any, cast
 from unittest import mock
 
+from .disk_contents import DiskContents
+
 WRITE, CREATE, RENAME, SYNC, REMOVE = "write", "create", "rename", "sync", "remove"
 OPERATIONS = (WRITE, CREATE, RENAME, SYNC, REMOVE)
 MOST_SPARED = 12
 
 
+class ProcessDeathError(Exception):
+    """The process that uses the disk dies at an operation."""
+
+
 class FullDisk:
     """Refuses some operations from a certain one on while it is full.
 
@@ -28,6 +34,8 @@
         self.refused: frozenset[str] = frozenset()
         self.spared = 0
         self.number = errno.ENOSPC
+        self.contents = DiskContents(folder=folder)
+        self.operations_left: int | None = None
 
     @property
     def is_full(self) -> bool:
@@ -56,11 +64,20 @@
         """Have room again."""
         self.refused = frozenset()
 
+    def kill_within(self, operations: int) -> None:
+        """Have the process die at an operation after some others."""
+        self.operations_left = operations
+
     def take(self, kind: str) -> None:
         """Do an operation.
 
         :raises OSError: it is refused.
+        :raises ProcessDeathError: the process dies at it.
         """
+        if self.operations_left is not None:
+            self.operations_left -= 1
+            if self.operations_left < 0:
+                raise ProcessDeathError
         if kind not in self.refused:
             return
         if not self.spared:
@@ -68,8 +85,9 @@
         self.spared -= 1
 
     def sync(self, descriptor: int) -> None:
-        """Sync a file or a folder; what the page cache loses is tested elsewhere."""
+        """Sync a file or a folder."""
         self.take(SYNC)
+        self.contents.synced(descriptor)
 
 
 class FullFile(io.FileIO):
@@ -98,16 +116,28 @@
     def disk_of(path: Path) -> FullDisk | None:
         return next((d for d in disks if d.folder in path.parents), None)
 
-    def checked(kind: str, original: Callable[..., Any]) -> Callable[..., Any]:
-        def call(path: Path, *args: Any, **options: Any) -> Any:
-            disk = disk_of(path)
-            if disk is not None:
-                disk.take(kind)
-            return original(path, *args, **options)
+    original_open, original_replace, original_unlink = (
+        Path.open,
+        Path.replace,
+        Path.unlink,
+    )
 
-        return call
-
-    original_open = Path.open
+    def renamed(path: Path, target: Path) -> Any:
+        disk = disk_of(path)
+        if disk is not None:
+            disk.take(RENAME)
+            disk.contents.renamed(path, target)
+            # Some file systems write a file out when it replaces another one.
+            with suppress(FileNotFoundError):
+                os.unlink(target)
+        return original_replace(path, target)
+
+    def removed(path: Path, **options: Any) -> None:
+        disk = disk_of(path)
+        if disk is not None:
+            disk.take(REMOVE)
+            disk.contents.removed(path)
+        original_unlink(path, **options)
 
     def opened(path: Path, mode: str = "r", *args: Any, **options: Any) -> Any:
         disk = disk_of(path)
@@ -115,13 +145,14 @@
             return original_open(path, mode, *args, **options)
         if mode == "wb" and not path.exists():
             disk.take(CREATE)
+            disk.contents.created(path)
         file = FullFile(path, mode.replace("b", ""), disk)
         return io.BufferedRandom(file) if "+" in mode else io.BufferedWriter(file)
 
     patches: Mapping[str, Callable[..., Any]] = {
         "open": opened,
-        "replace": checked(RENAME, Path.replace),
-        "unlink": checked(REMOVE, Path.unlink),
+        "replace": renamed,
+        "unlink": removed,
     }
     with mock.patch.multiple(Path, **patches):
         yield
--- a/testing/transport/test_full_disks.py
+++ b/testing/transport/test_full_disks.py
@@ -14,7 +14,7 @@
 from chervilstage.errors.configuration import LogWriteError
 from chervilstage.state.replica_messages import HandOver
 from testing.support.disk_cell import DiskCell, DiskNode, change_without_base
-from testing.support.full_disks import REMOVE, refusing
+from testing.support.full_disks import MOST_SPARED, REMOVE, refusing
 
 # The operator's wait for an acknowledgement on the users' pages is 5 s at least.
 ACKNOWLEDGED_SECONDS = 4.5
@@ -27,6 +27,8 @@
 CALL_PAUSE_SECONDS = 0.25
 NUMBER_OF_IO_ERROR = 5
 SEEDS = (3, 4)
+ROUNDS = 6
+DOWN_SECONDS = (0.05, 0.5)
 
 Scenario = Callable[[DiskCell], Awaitable[None]]
 
@@ -95,6 +97,59 @@
     assert not [operation for operation in cell.told if operation not in known]
 
 
+@pytest.mark.parametrize(("count", "size", "seed"), [(3, 3, 3), (4, 3, 4), (6, 5, 3)])
+def test_deaths_while_a_disk_is_full_lose_no_change(
+    tmp_path: Path, count: int, size: int, seed: int
+) -> None:
+    """Guards against a part of a save that a process takes for the whole later."""
+    cell = DiskCell(folder=tmp_path, count=count, size=size, seed=seed)
+    run(cell, lambda cell: play_deaths_while_full(cell, Random(seed)))
+
+
+async def play_deaths_while_full(cell: DiskCell, rng: Random) -> None:
+    """Fill one disk after another, while it or other replicas are killed."""
+    done = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(send_changes, cell, done)
+        for _ in range(ROUNDS):
+            await play_deaths_of_one_round(cell, rng)
+        done.set()
+    # Orders may have been refused while too few replicas ran.
+    cell.refused.clear()
+    await cell.until(lambda: not cell.problems(), "replica in touch")
+    for number in range(len(cell.nodes)):
+        await cell.order(change_without_base(f"after-{number}"), ACKNOWLEDGED_SECONDS)
+    assert not cell.refused
+    newest = max(cell.nodes, key=lambda node: node.revision)
+    known = newest.replica.applied.outcomes
+    assert not [operation for operation in cell.told if operation not in known]
+
+
+async def play_deaths_of_one_round(cell: DiskCell, rng: Random) -> None:
+    """Fill a disk, kill some replicas, start them again and free the disk."""
+    numbers = range(len(cell.nodes))
+    full = rng.choice(numbers)
+    disk = cell.disks[full]
+    disk.fill_at_random(rng)
+    await anyio.sleep(rng.uniform(*FULL_SECONDS) / 2)
+    victims = rng.choice([[full], [rng.choice(numbers)], list(numbers)])
+    loses_power = rng.random() < 0.5
+    for number in victims:
+        cell.disks[number].kill_within(rng.randint(0, MOST_SPARED))
+    await anyio.sleep(rng.uniform(*DOWN_SECONDS))
+    for number in victims:
+        await cell.kill(number)
+        if loses_power:
+            cell.disks[number].contents.lose_power(rng)
+    is_freed_first = rng.random() < 0.5
+    if is_freed_first:
+        disk.free()
+    for number in victims:
+        await cell.restart(number)
+    await anyio.sleep(rng.uniform(*FULL_SECONDS))
+    disk.free()
+
+
 def test_a_change_at_a_leader_with_a_full_disk_is_answered_in_time(
     tmp_path: Path,
 ) -> None:
