Log a file that a full disk does not remove once

What operators saw: on a disk that refuses removals while it is full, each try to save, five a second, logged each file that was left, and each try leaves one more. Change: the store keeps the names of the files that were left and logs each once.

--- a/src/chervilstage/transport/log_store.py
+++ b/src/chervilstage/transport/log_store.py
@@ -70,6 +70,7 @@
         self.meta: Meta
         self.file: BinaryIO = BytesIO()
         self.named: frozenset[str] = frozenset()
+        self.left: set[str] = set()
         self.last_number = 0
         self.folder = folder
         self.observe = observe
@@ -277,12 +278,17 @@
                     self._remove(path)
 
     def _remove(self, path: Path) -> None:
+        """Remove a file; that it stays is logged once, however often it is tried."""
         try:
             path.unlink(missing_ok=True)
         except OSError as error:
-            log_event(
-                "log_file_left", level=logging.WARNING, file=path.name, reason=error
-            )
+            if path.name not in self.left:
+                log_event(
+                    "log_file_left", level=logging.WARNING, file=path.name, reason=error
+                )
+            self.left.add(path.name)
+        else:
+            self.left.discard(path.name)
 
     def _names_in(self, meta: Meta) -> frozenset[str]:
         return frozenset(
--- a/testing/transport/test_full_disks.py
+++ b/testing/transport/test_full_disks.py
@@ -12,9 +12,11 @@
 from chervilstage.coordination import replica_apply
 from chervilstage.coordination.replica_effects import Send
 from chervilstage.errors.configuration import LogWriteError
+from chervilstage.state.replica import Snapshot, Vote
 from chervilstage.state.replica_messages import HandOver
+from chervilstage.transport.log_store import LogStore
 from testing.support.disk_cell import DiskCell, DiskNode, change_without_base
-from testing.support.full_disks import MOST_SPARED, REMOVE, refusing
+from testing.support.full_disks import MOST_SPARED, REMOVE, FullDisk, refusing
 
 # The operator's wait for an acknowledgement on the users' pages is 5 s at least.
 ACKNOWLEDGED_SECONDS = 4.5
@@ -277,3 +279,20 @@
             assert not outcome.code
 
     run(cell, scenario)
+
+
+def test_a_file_that_stays_is_logged_once(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a line a file at each of many tries while the disk is full."""
+    disk = FullDisk(folder=tmp_path / "data")
+    with refusing([disk]):
+        store = LogStore(folder=disk.folder, identity=1, sync_file=disk.sync)
+        disk.fill({REMOVE})
+        for _ in range(10):
+            store.save_anew(Vote(), Snapshot(), ())
+        store.close()
+    events = [r.msg for r in caplog.records if isinstance(r.msg, dict)]
+    left = [e["file"] for e in events if e["event"] == "log_file_left"]
+    assert left
+    assert len(left) == len(set(left))
