Count the silence of a replica from when it entered

What callers saw: a replica that enters while its leader has led for 10 s is a learner without an answer yet; the leader took it as silent for 10 s and let it leave 10 to 30 ms later. It entered again 1.5 s later, so the successor of a VM voted that much later, and one that answers late or has a full disk would enter and leave again and again. Cause: a replica without an answer counted as silent since the leader began to lead. Change: the leader notes when it began to send to a replica, and counts silence from then. The lease is not touched. Result: the tests of replicas pass.

--- a/src/chervilstage/coordination/replica_members.py
+++ b/src/chervilstage/coordination/replica_members.py
@@ -242,8 +242,10 @@
     if member.identity == replica.identity:
         return False
     progress = replica.progress.get(member.identity)
-    acked_at = progress.acked_at if progress else replica.led_from
-    return now - max(acked_at, replica.led_from) > seconds
+    heard_at = replica.led_from
+    if progress is not None:
+        heard_at = max(heard_at, progress.acked_at, progress.sent_from)
+    return now - heard_at > seconds
 
 
 def _member(hello: Hello, voter: bool = False) -> ReplicaMember:
--- a/src/chervilstage/coordination/replication.py
+++ b/src/chervilstage/coordination/replication.py
@@ -114,7 +114,7 @@
     member = replica.members.find(message.sender)
     if replica.role is not Role.LEADER or reply.term < replica.term or member is None:
         return []
-    known = _progress(replica, member)
+    known = _progress(replica, member, now)
     acked_at = max(known.acked_at, reply.sent_at)
     if not reply.success:
         following = max(known.matched, min(known.following - 1, reply.matched)) + 1
@@ -123,7 +123,7 @@
         )
         return [_send_next(replica, member, now)]
     matched = max(known.matched, reply.matched)
-    replica.progress[member.identity] = Progress(
+    replica.progress[member.identity] = known._replace(
         following=max(known.following, matched + 1),
         matched=matched,
         acked_at=acked_at,
@@ -144,7 +144,7 @@
     if replica.role is not Role.LEADER:
         return []
     durable: dict[int, float] = {
-        m.identity: _progress(replica, m).matched for m in replica.members.members
+        m.identity: _progress(replica, m, now).matched for m in replica.members.members
     }
     durable[replica.identity] = replica.persisted
     index = int(majority_value(replica, durable))
@@ -157,16 +157,16 @@
     return effects
 
 
-def _progress(replica: Replica, member: ReplicaMember) -> Progress:
+def _progress(replica: Replica, member: ReplicaMember, now: float) -> Progress:
     known = replica.progress.get(member.identity)
     if known is None:
-        known = Progress(following=replica.log.last_index + 1)
+        known = Progress(following=replica.log.last_index + 1, sent_from=now)
         replica.progress[member.identity] = known
     return known
 
 
 def _send_next(replica: Replica, member: ReplicaMember, now: float) -> ReplicaEffect:
-    known = _progress(replica, member)
+    known = _progress(replica, member, now)
     previous = known.following - 1
     previous_term = replica.log.term_at(previous)
     body: Body
--- a/src/chervilstage/state/replica.py
+++ b/src/chervilstage/state/replica.py
@@ -53,12 +53,13 @@
 
     ``matched`` is the highest entry known to be durable there, ``following`` the next
     one to send. ``acked_at`` is when this leader sent the newest message that the
-    replica has answered.
+    replica has answered, ``sent_from`` when it began to send to the replica.
     """
 
     following: int
     matched: int = 0
     acked_at: float = float("-inf")
+    sent_from: float = float("-inf")
 
 
 class Replica:
--- a/testing/coordination/test_replica_succession.py
+++ b/testing/coordination/test_replica_succession.py
@@ -5,7 +5,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
-from testing.support.replica_fakes import Node, ReplicaCell
+from chervilstage.state.log_entries import MembersCommand
+from testing.support.replica_fakes import TICK_SECONDS, Node, ReplicaCell
 from testing.support.replica_faults import change_of, revision_of
 
 NAMES = ["a", "b", "c"]
@@ -83,6 +84,19 @@
         followers = [n for n in self.cell.nodes.values() if revision_of(n) == 2]
         self.assertThat(followers, HasLength(2 * SIZE))
 
+    def test_a_learner_that_has_just_entered_stays(self) -> None:
+        """Guards against a silence that is counted from before a replica entered."""
+        self.cell.advance(12.0)
+        self.cell.add_node("d")
+        self.cell.advance(TICK_SECONDS)
+        self.cell.frozen.add("d")
+        self.cell.advance(1.0)
+        self.cell.frozen.clear()
+        self.cell.advance(2.0)
+        commands = [entry.command for entry in self.cell.histories.values()]
+        changes = [c.difference for c in commands if isinstance(c, MembersCommand)]
+        self.assertThat(changes, Equals(["replica d enters as a learner"]))
+
     def test_a_silent_learner_takes_no_place(self) -> None:
         """Guards against a voter that gives way to a replica that is lost as well."""
         spare = self.cell.add_node("spare")
