Let an upstream say that it has ended

What callers saw: an upstream said that it leaves, and never that it has left. Entries took its silence for its end: flows that it ended with waited for 5 s, and those of an upstream that was still draining while its announcements were lost moved away from it.

Cause: the announcement had no word for the end.

Change: the phase `left`, sent in the last announcement. Within an incarnation the phase only goes forward; it spreads as leaving does (records at once, digests, repair). Open flows of an upstream that has left are placed anew at the next packet. The stand-in sends it when a planned stop is over. Older entries read it as leaving.

`leaving_is_never_undone` became `no_phase_is_undone`, which holds for leaving as before and for the end too.

--- a/src/chervilstage/coordination/flows.py
+++ b/src/chervilstage/coordination/flows.py
@@ -7,6 +7,7 @@
 from ..state.configuration import Configuration
 from ..state.flow_state import FlowKey, FlowState, PendingFlow
 from ..state.flow_table import Pin
+from ..state.registry import has_left
 from ..state.types import UpstreamId, UpstreamPhase, UpstreamRecord
 from ..state.view import bucket_of
 from .flow_effects import Ask, Decision, Drop
@@ -42,6 +43,7 @@
     if (
         record is None
         or (record.identity is not upstream and record.identity != upstream)
+        or record.phase is UpstreamPhase.LEFT
         or record.data_centre in state.in_force.current.out
         or now - pin.used_at > table.idle_seconds
     ):
@@ -204,13 +206,17 @@
 
 def count_broken(state: FlowState, service: str, upstream: UpstreamId) -> None:
     """Count a flow whose upstream can no longer be used."""
-    record = state.registry.records.get(upstream.address)
+    record = state.registry.known(upstream.address)
     if record is None:
         cause = "upstream_gone"
     elif record.identity != upstream:
         cause = "address_changed_hands"
-    else:
+    elif has_left(record):
+        cause = "upstream_left"
+    elif record.data_centre in state.in_force.current.out:
         cause = "data_centre_out"
+    else:
+        cause = "upstream_gone"
     state.counters.add("flows_broken", cause)
 
 
--- a/src/chervilstage/coordination/registration.py
+++ b/src/chervilstage/coordination/registration.py
@@ -7,9 +7,9 @@
 from typing import NamedTuple
 
 from ..state.members import MemberTable
-from ..state.registry import UpstreamRegistry, is_leaving
+from ..state.registry import UpstreamRegistry, has_left, is_leaving
 from ..state.spread import DigestItem, SpreadState
-from ..state.types import Address, UpstreamPhase, UpstreamRecord
+from ..state.types import Address, UpstreamRecord
 from ..state.upstream_keys import upstream_key
 
 REFRESH_SECONDS = 0.5
@@ -143,7 +143,7 @@
     items: Sequence[DigestItem],
     now: float,
 ) -> list[Effect]:
-    """Take newer sequences, fetch unknown records, correct a missed leaving."""
+    """Take newer sequences, fetch unknown records, correct a missed phase."""
     unknown: list[int] = []
     missed: list[UpstreamRecord] = []
     for item in items:
@@ -151,12 +151,11 @@
         if held is None:
             unknown.append(item.key)
             continue
-        phase = UpstreamPhase.LEAVING if item.leaving else UpstreamPhase.READY
-        newer = held._replace(sequence=item.sequence, load=item.load, phase=phase)
+        newer = held._replace(sequence=item.sequence, load=item.load, phase=item.phase)
         registry.merge(newer, now)
         after = registry.records[held.identity.address]
         _note_leaving(spread, held, after, now)
-        if is_leaving(after) and not item.leaving:
+        if after.phase is not item.phase:
             missed.append(after)
     effects: list[Effect] = list(_record_messages(sender, missed))
     if unknown:
@@ -210,8 +209,11 @@
     after: UpstreamRecord,
     now: float,
 ) -> None:
-    was = before is not None and before.identity == after.identity
-    if is_leaving(after) and not (was and before and is_leaving(before)):
+    if before is None or before.identity != after.identity:
+        is_new = is_leaving(after)
+    else:
+        is_new = before.phase is not after.phase
+    if is_new:
         address = after.identity.address
         spread.leaving_until[address] = now + LEAVING_REPEAT_SECONDS
 
@@ -222,6 +224,7 @@
         sequence=record.sequence,
         load=record.load,
         leaving=is_leaving(record),
+        left=has_left(record),
     )
 
 
--- a/src/chervilstage/coordination/standin.py
+++ b/src/chervilstage/coordination/standin.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from ..state.standin import FlowSeen, StandinState
-from ..state.types import Address
+from ..state.types import Address, UpstreamPhase
 
 LOAD_HISTORY = 64
 MAXIMUM_NAMED_RUNS = 1_000_000
@@ -119,6 +119,13 @@
         state.leaving_at = now
 
 
+def announced_phase(state: StandinState) -> UpstreamPhase:
+    """Return the phase for the next announcement."""
+    if state.left:
+        return UpstreamPhase.LEFT
+    return UpstreamPhase.LEAVING if state.leaving else UpstreamPhase.READY
+
+
 def take_connection(state: StandinState) -> ConnectionKind:
     """Decide how a new connection is served."""
     if state.faults.silent_next <= 0:
--- a/src/chervilstage/protocol/announcement.py
+++ b/src/chervilstage/protocol/announcement.py
@@ -28,7 +28,7 @@
     request_port: Port
     incarnation: Annotated[int, Field(ge=0, lt=2**63)]
     sequence: Annotated[int, Field(ge=0, lt=2**63)]
-    phase: Literal["ready", "leaving"]
+    phase: Literal["ready", "leaving", "left"]
     slots: Annotated[int, Field(ge=1, le=10_000)]
     load: Annotated[int, Field(ge=0, le=65_535)]
 
--- a/src/chervilstage/protocol/schema/upstreams.capnp
+++ b/src/chervilstage/protocol/schema/upstreams.capnp
@@ -13,6 +13,7 @@
   load @9 :UInt16;
   label @10 :UInt64;
   coldSeconds @11 :Float64;
+  left @12 :Bool;
 }
 
 struct UpstreamRecords {
@@ -24,6 +25,7 @@
   sequence @1 :UInt64;
   load @2 :UInt16;
   leaving @3 :Bool;
+  left @4 :Bool;
 }
 
 struct UpstreamDigest {
--- a/src/chervilstage/protocol/upstream_messages.py
+++ b/src/chervilstage/protocol/upstream_messages.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from ..state.registry import has_left, is_leaving
 from ..state.spread import DigestItem
 from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
 from .schemas import pack, schema, unpack
@@ -43,7 +44,11 @@
     message = unpack(schema("upstreams").UpstreamDigest, data)
     return [
         DigestItem(
-            key=item.key, sequence=item.sequence, load=item.load, leaving=item.leaving
+            key=item.key,
+            sequence=item.sequence,
+            load=item.load,
+            leaving=item.leaving,
+            left=item.left,
         )
         for item in message.items
     ]
@@ -72,13 +77,20 @@
     item.service = record.identity.service
     item.dataCentre = record.data_centre
     item.sequence = record.sequence
-    item.leaving = record.phase is UpstreamPhase.LEAVING
+    item.leaving = is_leaving(record)
+    item.left = has_left(record)
     item.slots = record.slots
     item.load = record.load
     item.label = record.label
     item.coldSeconds = record.cold_seconds
 
 
+def _phase(item: Any) -> UpstreamPhase:
+    if item.left:
+        return UpstreamPhase.LEFT
+    return UpstreamPhase.LEAVING if item.leaving else UpstreamPhase.READY
+
+
 def read_record(item: Any) -> UpstreamRecord:
     """Return the record of a message."""
     return UpstreamRecord(
@@ -90,7 +102,7 @@
         request_address=Address(host=item.host, port=item.requestPort),
         data_centre=item.dataCentre,
         sequence=item.sequence,
-        phase=UpstreamPhase.LEAVING if item.leaving else UpstreamPhase.READY,
+        phase=_phase(item),
         slots=item.slots,
         load=item.load,
         label=item.label,
--- a/src/chervilstage/state/flow_state.py
+++ b/src/chervilstage/state/flow_state.py
@@ -12,7 +12,7 @@
 from .in_force import ConfigurationInForce
 from .known_exceptions import KnownExceptions
 from .members import MemberTable
-from .registry import UpstreamRegistry
+from .registry import UpstreamRegistry, has_left
 from .types import Address, UpstreamId
 from .view import ALL_BUCKETS, View, ViewId
 
@@ -268,26 +268,28 @@
     def is_usable(self, upstream: UpstreamId) -> bool:
         """Tell whether packets may be sent to an upstream.
 
-        The registered identity must be the same, service included, and its data
-        centre in service.
+        The registered identity must be the same, service included, its data centre in
+        service, and it must not have left.
         """
         record = self.registry.records.get(upstream.address)
         return (
             record is not None
             and record.identity == upstream
+            and not has_left(record)
             and record.data_centre not in self.in_force.current.out
         )
 
     def has_ended(self, upstream: UpstreamId) -> bool:
         """Tell whether the flows of an upstream are known to have ended.
 
-        Its address has changed hands, or its data centre is out of service.
+        It has left, its address has changed hands, or its data centre is out of
+        service.
         """
-        record = self.registry.records.get(upstream.address)
+        record = self.registry.known(upstream.address)
         if record is None:
             return False
         if record.identity == upstream:
-            return record.data_centre in self.in_force.current.out
+            return has_left(record) or record.data_centre in self.in_force.current.out
         return record.identity.incarnation >= upstream.incarnation
 
     def peers_missing(self, service: str, bucket: int) -> list[str]:
--- a/src/chervilstage/state/registry.py
+++ b/src/chervilstage/state/registry.py
@@ -8,6 +8,7 @@
 from .upstream_keys import upstream_key
 
 Version = tuple[int, str, int]
+PHASE_ORDER = tuple(UpstreamPhase)
 
 
 class Departed(NamedTuple):
@@ -26,9 +27,10 @@
 
     A record is newer by (incarnation, sequence); two services that claim one address
     under the same incarnation are ordered by name, so that all entries agree.
-    Leaving is sticky within an incarnation: it is taken from a late message too, and
-    no other message undoes it. The last record of a removed upstream is kept for a
-    time, so that an old message cannot bring it back.
+    Within an incarnation the phase only goes forward: that an upstream is leaving or
+    has left is taken from a late message too, and no other message undoes it. The last
+    record of a removed upstream is kept for a time, so that an old message cannot bring
+    it back.
 
     ``heard_at`` is when something newer was last heard of an upstream.
     ``unreachable`` holds the addresses in data centres that are cut off.
@@ -55,12 +57,10 @@
         if known is None:
             return self._put(record, now)
         if known.identity == record.identity:
-            leaving = is_leaving(known) or is_leaving(record)
+            phase = later_phase(known.phase, record.phase)
             if record.sequence <= known.sequence:
-                return self._mark_leaving(address, known, leaving)
-            if leaving:
-                record = record._replace(phase=UpstreamPhase.LEAVING)
-            return self._put(record, now)
+                return self._mark_phase(address, known, phase)
+            return self._put(record._replace(phase=phase), now)
         if _version(record) <= _version(known):
             return False
         return self._put(record, now)
@@ -144,12 +144,12 @@
         self.request_holder[record.request_address] = address
         return True
 
-    def _mark_leaving(
-        self, address: Address, known: UpstreamRecord, leaving: bool
+    def _mark_phase(
+        self, address: Address, known: UpstreamRecord, phase: UpstreamPhase
     ) -> bool:
-        if not leaving or is_leaving(known):
+        if phase is known.phase:
             return False
-        marked = known._replace(phase=UpstreamPhase.LEAVING)
+        marked = known._replace(phase=phase)
         if address in self.records:
             self.records[address] = marked
             return True
@@ -158,8 +158,18 @@
 
 
 def is_leaving(record: UpstreamRecord) -> bool:
-    """Tell whether an upstream has said that it leaves."""
-    return record.phase is UpstreamPhase.LEAVING
+    """Tell whether an upstream has said that it leaves or has left."""
+    return record.phase is not UpstreamPhase.READY
+
+
+def has_left(record: UpstreamRecord) -> bool:
+    """Tell whether an upstream has said that it has left."""
+    return record.phase is UpstreamPhase.LEFT
+
+
+def later_phase(first: UpstreamPhase, second: UpstreamPhase) -> UpstreamPhase:
+    """Return the phase that an upstream reaches later."""
+    return max(first, second, key=PHASE_ORDER.index)
 
 
 def _version(record: UpstreamRecord) -> Version:
--- a/src/chervilstage/state/spread.py
+++ b/src/chervilstage/state/spread.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from .types import Address
+from .types import Address, UpstreamPhase
 
 
 class DigestItem(NamedTuple):
@@ -14,6 +14,14 @@
     sequence: int
     load: int
     leaving: bool
+    left: bool = False
+
+    @property
+    def phase(self) -> UpstreamPhase:
+        """Return the phase that the item tells."""
+        if self.left:
+            return UpstreamPhase.LEFT
+        return UpstreamPhase.LEAVING if self.leaving else UpstreamPhase.READY
 
 
 class SpreadState:
--- a/src/chervilstage/state/standin.py
+++ b/src/chervilstage/state/standin.py
@@ -87,7 +87,8 @@
     ``runs`` counts how often the work of each idempotency key was run, and
     ``attempt_runs`` the same for each attempt that the load tool named.
     ``allowed_excess`` is how many requests over the capacity still go back to a turn
-    to cold. ``ending`` says that open feeds end now. Times are seconds of the clock
+    to cold. ``ending`` says that open feeds end now, ``left`` that
+    the last announcement says the end. Times are seconds of the clock
     that the decisions are given; 0 where nothing happened.
 
     :param slots: how many requests it runs at once when warm.
@@ -108,6 +109,7 @@
         self.open_feeds = 0
         self.leaving = False
         self.ending = False
+        self.left = False
         self.leaving_at = 0.0
         self.last_new_work_at = 0.0
         self.last_packet_at = 0.0
--- a/src/chervilstage/state/types.py
+++ b/src/chervilstage/state/types.py
@@ -14,10 +14,15 @@
 
 
 class UpstreamPhase(StrEnum):
-    """What an upstream says of itself."""
+    """What an upstream says of itself.
+
+    One that is leaving takes nothing new and keeps its flows; one that has left has
+    ended.
+    """
 
     READY = "ready"
     LEAVING = "leaving"
+    LEFT = "left"
 
 
 class UpstreamId(NamedTuple):
--- a/src/chervilstage/transport/standin_server.py
+++ b/src/chervilstage/transport/standin_server.py
@@ -14,6 +14,7 @@
 
 from ..coordination.standin import (
     PacketKind,
+    announced_phase,
     begin_leaving,
     has_active_flows,
     next_updates,
@@ -30,7 +31,7 @@
 from ..protocol.standin_control import encode_report
 from ..state.load_packets import CallerPacket, FeedUpdate, UpstreamName
 from ..state.standin import StandinState
-from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
+from ..state.types import Address, UpstreamId, UpstreamRecord
 from .application import Hooks
 from .datagrams import (
     bound_address,
@@ -152,7 +153,6 @@
     def record(self) -> UpstreamRecord:
         """Return the next announcement."""
         self.state.sequence += 1
-        leaving = self.state.leaving
         return UpstreamRecord(
             identity=UpstreamId(
                 address=self.address,
@@ -162,7 +162,7 @@
             request_address=Address(host=self.address.host, port=self.request_port),
             data_centre=self.name.data_centre,
             sequence=self.state.sequence,
-            phase=UpstreamPhase.LEAVING if leaving else UpstreamPhase.READY,
+            phase=announced_phase(self.state),
             slots=self.state.slots,
             load=reported_load(self.state),
         )
@@ -227,7 +227,7 @@
         )
 
     async def drain(self) -> None:
-        """Leave, then wait for flows that linger and for answers under way."""
+        """Leave, wait for lingering flows and answers under way, and say the end."""
         await self.leave()
         seconds = self.linger_left()
         while seconds > 0:
@@ -235,6 +235,8 @@
             seconds = self.linger_left()
         self.state.ending = True
         await self.requests.wait_idle()
+        self.state.left = True
+        await self.announce()
 
     def linger_left(self) -> float:
         """Return how many seconds a planned stop may still wait for flows or feeds."""
--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -336,6 +336,26 @@
         group.run(1.0)
         self.assertThat(group.broken, Equals([]))
 
+    def test_flows_of_an_upstream_that_has_left_go_to_another_at_once(self) -> None:
+        """Guards against flows that wait for an upstream that has said its end."""
+        group = started_group(11)
+        for flow in range(100):
+            group.packet("e2", SERVICES[0], flow)
+        gone = next(iter(group.first.values()))
+        port = gone.address.port
+        group.add_upstream(SERVICES[0], port, phase=UpstreamPhase.LEAVING)
+        self.assertTrue(group.settle())
+        group.add_upstream(SERVICES[0], port, phase=UpstreamPhase.LEFT)
+        group.run(0.1)
+        group.placed.clear()
+        for flow in range(100):
+            group.packet(NAMES[flow % 4], SERVICES[0], flow)
+        group.run(1.0)
+        self.assertThat(group.placed[gone], Equals(0))
+        self.assertNotIn(gone, group.first.values())
+        self.assertThat(group.first, HasLength(100))
+        self.assertThat(group.broken, Equals([]))
+
     def test_change_comes_into_force_after_another_coordinator_made_newer_views(
         self,
     ) -> None:
--- a/testing/coordination/test_registration.py
+++ b/testing/coordination/test_registration.py
@@ -13,8 +13,13 @@
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
-from chervilstage.state.registry import UpstreamRegistry, is_leaving
-from chervilstage.state.types import Address, UpstreamRecord
+from chervilstage.state.registry import (
+    PHASE_ORDER,
+    UpstreamRegistry,
+    has_left,
+    is_leaving,
+)
+from chervilstage.state.types import UpstreamId, UpstreamRecord
 from testing.support.upstream_fakes import FakeGroup, record_of
 
 ENTRIES = [f"e{n}" for n in range(4)]
@@ -32,20 +37,18 @@
         self.group.run(1)
         self.past: list[UpstreamRecord] = []
         self.newest: dict[int, UpstreamRecord] = {}
-        self.left: set[tuple[Address, int]] = set()
+        self.phases: dict[str, dict[UpstreamId, int]] = {}
 
     def announce(self, entry: str, number: int, record: UpstreamRecord) -> None:
         """Announce something new."""
         self.newest[number] = record
         self.past.append(record)
-        if is_leaving(record):
-            self.left.add((record.identity.address, record.identity.incarnation))
         self.group.announce(entry, record)
 
     @rule(
         number=st.integers(0, UPSTREAMS - 1),
         entry=st.sampled_from(ENTRIES),
-        change=st.sampled_from(["same", "same", "leave", "replace"]),
+        change=st.sampled_from(["same", "same", "leave", "end", "replace"]),
         service=st.sampled_from(["alley-desk", "league-ledger"]),
     )
     def tell(self, number: int, entry: str, change: str, service: str) -> None:
@@ -61,6 +64,7 @@
             incarnation=incarnation,
             sequence=sequence,
             leaving=change == "leave",
+            left=change == "end",
             service=service,
         )
         self.announce(entry, number, record)
@@ -85,15 +89,14 @@
         self.group.run(seconds)
 
     @invariant()
-    def leaving_is_never_undone(self) -> None:
+    def no_phase_is_undone(self) -> None:
         for entry in self.group.entries.values() if self.newest else ():
-            heard = getattr(entry, "left", set())
+            heard = self.phases.setdefault(entry.name, {})
             for record in entry.registry.records.values():
-                run = (record.identity.address, record.identity.incarnation)
-                if is_leaving(record):
-                    heard.add(run)
-                assert run not in heard or is_leaving(record), (entry.name, record)
-            entry.left = heard  # type: ignore[attr-defined]
+                phase = PHASE_ORDER.index(record.phase)
+                before = heard.setdefault(record.identity, phase)
+                assert phase >= before, (entry.name, record)
+                heard[record.identity] = phase
 
     @rule()
     def calm(self) -> None:
@@ -130,6 +133,18 @@
             late = [v for v in views if not all(map(is_leaving, v.values()))]
             self.assertThat(late, HasLength(0), f"seed {seed}")
 
+    def test_end_of_an_upstream_is_known_within_two_seconds_despite_loss(self) -> None:
+        for seed in range(40):
+            group = FakeGroup(seed=seed)
+            group.announce("e0", record_of(0, leaving=True))
+            group.run(2)
+            group.network.loss = 0.2
+            group.announce("e0", record_of(0, sequence=2, left=True))
+            group.run(LEAVE_SECONDS)
+            views = [e.registry.records for e in group.entries.values()]
+            late = [v for v in views if not all(map(has_left, v.values()))]
+            self.assertThat(late, HasLength(0), f"seed {seed}")
+
     def test_entry_that_restarts_gets_all_records(self) -> None:
         group = FakeGroup(seed=1)
         for number in range(25):
@@ -163,6 +178,17 @@
             phases = [is_leaving(r) for r in registry.records.values()]
             self.assertThat(phases, Equals([True]))
 
+    def test_old_or_crossed_messages_never_undo_the_end(self) -> None:
+        for removed in (False, True):
+            registry = UpstreamRegistry()
+            registry.merge(record_of(0, sequence=2, left=True), 0.0)
+            if removed:
+                registry.remove(record_of(0).identity.address, 1.0)
+            registry.merge(record_of(0, sequence=1, leaving=True), 2.0)
+            registry.merge(record_of(0, sequence=3), 2.0)
+            phases = [has_left(r) for r in registry.records.values()]
+            self.assertThat(phases, Equals([True]))
+
     def test_removed_upstream_needs_a_newer_announcement(self) -> None:
         registry = UpstreamRegistry()
         registry.merge(record_of(0, sequence=5), 0.0)
--- a/testing/programs/test_upstreams.py
+++ b/testing/programs/test_upstreams.py
@@ -87,6 +87,21 @@
     assert report["last_new_work_at"] - report["leaving_at"] < LEAVE_SECONDS
 
 
+def test_end_of_a_stopped_upstream_is_heard_by_every_entry(cell: Cell) -> None:
+    """Guards against flows that wait for an upstream that has stopped as planned."""
+    start_standin(cell, "gl-erie")
+    start_standin(cell, "gl-huron")
+    cell.wait_registered("alley-desk", 2)
+    cell.processes.started[-1].process.send_signal(signal.SIGTERM)
+
+    def heard() -> bool:
+        started = [cell.running[entry.name] for entry in cell.entries]
+        lines = [entry.lines("upstream_registered") for entry in started]
+        return all(any("phase=left" in line for line in told) for told in lines)
+
+    wait_until(heard, "the end of the upstream at every entry")
+
+
 def test_dead_upstream_is_ejected_before_its_record_expires(cell: Cell) -> None:
     """Guards against requests that go on failing at an upstream that is dead."""
     for data_centre in ("gl-erie", "gl-huron", "gl-huron"):
--- a/testing/protocol/test_upstream_messages.py
+++ b/testing/protocol/test_upstream_messages.py
@@ -50,7 +50,12 @@
     report=st.booleans(),
 )
 DIGESTS = st.builds(
-    DigestItem, key=LARGE, sequence=LARGE, load=SMALL, leaving=st.booleans()
+    DigestItem,
+    key=LARGE,
+    sequence=LARGE,
+    load=SMALL,
+    leaving=st.booleans(),
+    left=st.booleans(),
 )
 
 
@@ -74,7 +79,9 @@
         self.assertThat(decode_fetch(encode_fetch(keys)), Equals(keys))
 
     def test_records_round_trip(self) -> None:
-        records = [record_of(n, sequence=n + 7, leaving=n == 1) for n in range(3)]
+        records = [
+            record_of(n, sequence=n + 7, leaving=n == 1, left=n == 2) for n in range(3)
+        ]
         self.assertThat(decode_records(encode_records(records)), Equals(records))
 
     @given(st.binary(max_size=60))
--- a/testing/support/flow_group.py
+++ b/testing/support/flow_group.py
@@ -238,7 +238,8 @@
         record = self.records[upstream.address]
         idle = self.clock.now - self.used_at[flow] > self.services[0].flow_idle_seconds
         out = record.data_centre in self.configuration.out
-        return idle or out or record.identity != upstream
+        left = record.phase is UpstreamPhase.LEFT
+        return idle or out or left or record.identity != upstream
 
     def apply(self, name: str, effects: Iterable[FlowEffect]) -> None:
         """Carry out the effects of an entry's decision."""
--- a/testing/support/upstream_fakes.py
+++ b/testing/support/upstream_fakes.py
@@ -51,12 +51,14 @@
     incarnation: int = 1,
     sequence: int = 1,
     leaving: bool = False,
+    left: bool = False,
     service: str = SERVICE,
     data_centre: str = "gl-erie",
     slots: int = 4,
 ) -> UpstreamRecord:
     """Return the announcement of upstream ``number``."""
     host = f"127.1.0.{number + 1}"
+    phase = UpstreamPhase.LEAVING if leaving else UpstreamPhase.READY
     return UpstreamRecord(
         identity=UpstreamId(
             address=Address(host=host, port=9000),
@@ -66,7 +68,7 @@
         request_address=Address(host=host, port=9001),
         data_centre=data_centre,
         sequence=sequence,
-        phase=UpstreamPhase.LEAVING if leaving else UpstreamPhase.READY,
+        phase=UpstreamPhase.LEFT if left else phase,
         slots=slots,
         load=0,
     )
