Move no flow because its upstream is silent

What callers saw: an open flow without a token moved to another upstream when no entry had heard its own one for 5 s, though it lived; at an entry that had been paused for 5 s all flows moved; and at an entry that had joined meanwhile, the flows of silent or cut-off upstreams moved after 10 s.

A record that expired for silence counted as the end of its upstream, and so did a record that had not come.

Change: open flows go by `UpstreamRegistry.followed`, the last record of an upstream that has not said its end, whose address and request address no later run holds, and whose data centre is in service. New flows need an upstream that is heard. Entries that disagree are avoided thus: pins of a silent upstream are exceptions and go into lists, answers and the hand-over as those of a leaving one; full digests name silent and cut-off upstreams, and entries that do not know them fetch the record with its age, so all forget it at the same time (2 hours, as before); a flow that is idle at one entry and whose upstream is silent is asked about at all peers before it is placed anew, and such idle pins are not told. Heard again, the upstream gets buckets back by planned batches. A planned stop no longer waits for pins of ended upstreams, which no peer takes over.

Callers of an upstream that died without a word wait until they give up, are idle, or it starts again.

With the rule taken out again 4 cases and SilentUpstreamsTests fail; without silent upstreams in digests, the question about idle flows, the new placement of idle flows, the check of held flows, the ended request address, the phase in digests of silent upstreams or the check in the hand-over, one case each fails.

The simulated group now expires records and spreads them. Its check for foreign packets asks the newest known record in place of the registered one, since a silent upstream is not registered; a packet to an address without any known record still counts.

--- a/src/chervilstage/coordination/flow_explanation.py
+++ b/src/chervilstage/coordination/flow_explanation.py
@@ -54,10 +54,13 @@
         return None, "unknown service"
     pin = table.get(key)
     if pin is not None and state.is_usable(pin.upstream):
-        return pin.upstream, f"pinned under view {pin.number}"
+        silent = _silent_note(state, pin.upstream)
+        return pin.upstream, f"pinned under view {pin.number}{silent}"
     known = state.exceptions[service].get(key)
     if known is not None and state.is_usable(known.upstream):
-        return known.upstream, f"exception told by a peer, of view {known.number}"
+        silent = _silent_note(state, known.upstream)
+        told = f"exception told by a peer, of view {known.number}{silent}"
+        return known.upstream, told
     bucket = bucket_of(key)
     proposal = choose_upstream_of(state, service, bucket)
     if proposal is None or state.view.identity.number == 0:
@@ -70,6 +73,10 @@
     return proposal, "chosen by the view"
 
 
+def _silent_note(state: FlowState, upstream: UpstreamId) -> str:
+    return "" if state.registry.is_heard(upstream) else "; its upstream is silent"
+
+
 def _candidates(state: FlowState, service: str, bucket: int) -> tuple[str, ...]:
     records = {r.identity: r for r in state.registry.of_service(service)}
     order = bucket_order(service, bucket, records)[:SHOWN_CANDIDATES]
--- a/src/chervilstage/coordination/flows.py
+++ b/src/chervilstage/coordination/flows.py
@@ -17,8 +17,6 @@
 # Bounds the memory for flows that wait for answers; at 3,000 new flows a second it is
 # over a second of them.
 MAXIMUM_PENDING = 4_096
-# A peer may tell of an upstream before its announcement has come here.
-UNKNOWN_SECONDS = 10.0
 
 
 def in_service(
@@ -32,7 +30,8 @@
     """Choose the upstream of one packet and pin the flow to it.
 
     The identity of the upstream is checked before each packet, so that a stale pin
-    sends nothing to an address that has changed hands.
+    sends nothing to an address that has changed hands. That the upstream is silent
+    moves no flow.
     """
     table = state.tables[service]
     pin = table.get(key)
@@ -40,6 +39,8 @@
         return place_flow(state, service, key, now)
     upstream = pin.upstream
     record = state.registry.records.get(upstream.address)
+    if record is None:
+        record = state.registry.followed(upstream)
     if (
         record is None
         or (record.identity is not upstream and record.identity != upstream)
@@ -59,12 +60,13 @@
     if flow in state.pending:
         return ASK
     known = state.exceptions[service].get(key)
-    if known is not None:
+    is_over = known is not None and state.is_over(service, known, now)
+    if known is not None and not is_over:
         if state.is_usable(known.upstream):
             state.exchange.hear(flow)
             return put_pin(state, flow, known._replace(used_at=now), now)
-        waited = now - known.used_at
-        if waited < UNKNOWN_SECONDS and not state.has_ended(known.upstream):
+        if not state.has_ended(known.upstream):
+            # A peer may tell of an upstream before its record has come here.
             return Drop(reason="upstream_unknown")
         state.exceptions[service].pop(key)
         state.forget_told(service, key)
@@ -75,6 +77,8 @@
     if proposal is None:
         return Drop(reason="no_upstream")
     peers = peers_to_ask(state, service, bucket_of(key), proposal, now)
+    if is_over:
+        peers = sorted(state.members.live_names.union(peers))
     successor = successor_of(state, service, bucket_of(key))
     if successor is not None:
         peers = [successor]
@@ -164,7 +168,9 @@
     list because this entry has told it.
     """
     table = state.tables[flow.service]
-    state.exceptions[flow.service].pop(flow.key)
+    known = state.exceptions[flow.service].pop(flow.key)
+    if known is not None and known.upstream != pin.upstream:
+        state.forget_told(flow.service, flow.key)
     if state.prepared is None and state.is_settled():
         for key in table.idle_keys(now):
             retire_pin(state, FlowKey(service=flow.service, key=key))
@@ -227,10 +233,7 @@
     pin = state.tables[service].get(key)
     if pin is None or pin.upstream.address != sender:
         return False
-    record = state.registry.records.get(pin.upstream.address)
-    return record is not None and (
-        record.identity is pin.upstream or record.identity == pin.upstream
-    )
+    return state.registry.followed(pin.upstream) is not None
 
 
 def end_flows_out(state: FlowState) -> int:
@@ -239,7 +242,7 @@
     for service, table in state.tables.items():
         for bucket in table.buckets:
             for key, pin in list(bucket.items()):
-                record = state.registry.records.get(pin.upstream.address)
+                record = state.registry.known(pin.upstream.address)
                 if record and record.data_centre in state.in_force.current.out:
                     table.remove(key)
                     state.forget_told(service, key)
--- a/src/chervilstage/coordination/hand_over.py
+++ b/src/chervilstage/coordination/hand_over.py
@@ -126,7 +126,8 @@
         held = set(digests)
         count += len(held)
         for key, pin in table.buckets[bucket].items():
-            if key & DIGEST_MASK not in held and not table.is_idle(pin, now):
+            is_open = not table.is_idle(pin, now) and state.is_usable(pin.upstream)
+            if is_open and key & DIGEST_MASK not in held:
                 flow = FlowKey(service=page.service, key=key)
                 hand_over.unacknowledged[flow] = None
         hand_over.todo.get(page.service, set()).discard(bucket)
--- a/src/chervilstage/coordination/pin_lists.py
+++ b/src/chervilstage/coordination/pin_lists.py
@@ -156,7 +156,10 @@
 def _bucket_items(
     state: FlowState, sender: str, request: ListRequest, bucket: int, view: View
 ) -> list[PinItem]:
-    """Return the exceptions of a bucket, in the order of their keys."""
+    """Return the exceptions of a bucket, in the order of their keys.
+
+    An idle flow of a silent upstream is left out: it may have been placed anew.
+    """
     service = request.service
     table = state.tables[service]
     chosen = view.buckets(service)[bucket]
@@ -178,6 +181,7 @@
     return [
         PinItem(key=key, upstream=pins[key].upstream, number=pins[key].number)
         for key in sorted(pins)
+        if not state.is_over(service, pins[key], state.ticked_at)
     ]
 
 
--- a/src/chervilstage/coordination/pin_queries.py
+++ b/src/chervilstage/coordination/pin_queries.py
@@ -109,6 +109,8 @@
         pin = None
     if pin is None and exceptions:
         pin = state.exceptions[flow.service].get(flow.key)
+        if pin is not None and state.is_over(flow.service, pin, now):
+            pin = None
     if pin is None or not state.is_usable(pin.upstream):
         return None
     return PinItem(key=flow.key, upstream=pin.upstream, number=pin.number, pinned=True)
@@ -191,15 +193,17 @@
     best = pending.best
     upstream = best.upstream if best else pending.proposal
     undecided = pending.adopt and not pending.best_pinned
-    if undecided or not state.is_usable(upstream):
+    # An open flow stays with a silent upstream; none is placed there anew.
+    can_go = state.is_usable if pending.best_pinned else state.takes_new_flows
+    if undecided or not can_go(upstream):
         state.counters.add("flows_undecided", flow.service)
         return [Release(service=flow.service, key=flow.key, upstream=None)]
     released = Release(service=flow.service, key=flow.key, upstream=upstream)
     if best and pending.best_pinned:
         # Whoever made the pin tells all entries of it; telling it here too would make
         # that entry leave it out for peers that have this entry's list already.
-        state.exchange.hear(flow)
         put_pin(state, flow, best._replace(used_at=now), now)
+        state.exchange.hear(flow)
         return [released]
     if successor_of(state, flow.service, bucket_of(flow.key)) and state.hand_over:
         state.hand_over.unacknowledged[flow] = None
--- a/src/chervilstage/coordination/registration.py
+++ b/src/chervilstage/coordination/registration.py
@@ -7,8 +7,14 @@
 from typing import NamedTuple
 
 from ..state.members import MemberTable
-from ..state.registry import UpstreamRegistry, has_left, is_leaving
-from ..state.spread import DigestItem, SpreadState
+from ..state.registry import (
+    Departed,
+    UpstreamRegistry,
+    has_left,
+    is_leaving,
+    later_phase,
+)
+from ..state.spread import DigestItem, SilentRecord, SpreadState
 from ..state.types import Address, UpstreamRecord
 from ..state.upstream_keys import upstream_key
 
@@ -31,6 +37,13 @@
     records: tuple[UpstreamRecord, ...]
 
 
+class SendSilent(NamedTuple):
+    """Send the records of silent upstreams to a peer."""
+
+    peer: str
+    records: tuple[SilentRecord, ...]
+
+
 class SendDigest(NamedTuple):
     """Send the newest sequences to a peer."""
 
@@ -45,7 +58,7 @@
     keys: tuple[int, ...]
 
 
-Effect = SendRecords | SendDigest | FetchRecords
+Effect = SendRecords | SendSilent | SendDigest | FetchRecords
 
 
 def take_announcement(
@@ -127,11 +140,19 @@
 
 
 def full_digest(registry: UpstreamRegistry, peer: str) -> list[Effect]:
-    """Return a digest of all reachable records for a peer."""
+    """Return a digest for a peer of all records, those of silent upstreams included.
+
+    An entry that joins while an upstream is silent has to know it, as open flows stay
+    with it.
+    """
     items = [
-        _item(record)
+        _item(record)._replace(is_silent=address in registry.unreachable)
         for address, record in sorted(registry.records.items())
-        if address not in registry.unreachable
+    ]
+    items += [
+        _item(departed.record)._replace(is_silent=True)
+        for _, departed in sorted(registry.departed.items())
+        if not departed.has_ended
     ]
     return _digest_messages(peer, items)
 
@@ -146,8 +167,11 @@
     """Take newer sequences, fetch unknown records, correct a missed phase."""
     unknown: list[int] = []
     missed: list[UpstreamRecord] = []
+    _take_silent(registry, [item for item in items if item.is_silent], unknown, now)
     for item in items:
         held = registry.find(item.key)
+        if item.is_silent:
+            continue
         if held is None:
             unknown.append(item.key)
             continue
@@ -163,18 +187,67 @@
     return effects
 
 
+def _take_silent(
+    registry: UpstreamRegistry,
+    items: Sequence[DigestItem],
+    unknown: list[int],
+    now: float,
+) -> None:
+    """Take the phases of upstreams that a peer does not hear, and note unknown ones."""
+    if not items:
+        return
+    departed = _departed_by_key(registry)
+    for item in items:
+        known = registry.find(item.key)
+        if known is None and item.key in departed:
+            known = departed[item.key].record
+        if known is None:
+            unknown.append(item.key)
+            continue
+        phase = later_phase(known.phase, item.phase)
+        registry.merge(known._replace(phase=phase), now)
+
+
+def _departed_by_key(registry: UpstreamRegistry) -> dict[int, Departed]:
+    return {upstream_key(d.record.identity): d for d in registry.departed.values()}
+
+
 def answer_fetch(
-    registry: UpstreamRegistry, sender: str, keys: Sequence[int]
+    registry: UpstreamRegistry, sender: str, keys: Sequence[int], now: float
 ) -> list[Effect]:
     """Return the records that a peer asks for."""
-    found = [record for key in keys if (record := registry.find(key)) is not None]
-    return _record_messages(sender, found)
+    departed = _departed_by_key(registry)
+    heard: list[UpstreamRecord] = []
+    silent: list[SilentRecord] = []
+    for key in keys:
+        record = registry.find(key)
+        gone = departed.get(key)
+        if record is not None and record.identity.address in registry.unreachable:
+            seconds = now - registry.heard_at[record.identity.address]
+            silent.append(SilentRecord(record=record, seconds=seconds))
+        elif record is not None:
+            heard.append(record)
+        elif gone is not None and not gone.has_ended:
+            silent.append(SilentRecord(record=gone.record, seconds=now - gone.at))
+    return [*_record_messages(sender, heard), *_silent_messages(sender, silent)]
+
+
+def receive_silent(
+    registry: UpstreamRegistry, records: Sequence[SilentRecord], now: float
+) -> None:
+    """Keep the records of silent upstreams that a peer knows."""
+    for record, seconds in records:
+        registry.learn_silent(record, now - seconds)
 
 
 def expire_records(
     registry: UpstreamRegistry, table: MemberTable, now: float
 ) -> list[UpstreamRecord]:
-    """Remove and return silent upstreams; keep those of cut-off data centres."""
+    """Remove and return silent upstreams; keep those of cut-off data centres.
+
+    A removed upstream gets nothing new. Its open flows stay with its last record, which
+    is kept for as long as that of a cut-off data centre.
+    """
     removed: list[UpstreamRecord] = []
     for address, record in list(registry.records.items()):
         cut_off = not centre_reachable(table, record.data_centre)
@@ -235,6 +308,13 @@
     ]
 
 
+def _silent_messages(peer: str, records: Sequence[SilentRecord]) -> list[Effect]:
+    return [
+        SendSilent(peer=peer, records=tuple(records[i : i + RECORDS_PER_MESSAGE]))
+        for i in range(0, len(records), RECORDS_PER_MESSAGE)
+    ]
+
+
 def _digest_messages(peer: str, items: Sequence[DigestItem]) -> list[Effect]:
     return [
         SendDigest(peer=peer, items=tuple(items[i : i + ITEMS_PER_DIGEST]))
--- a/src/chervilstage/protocol/schema/upstreams.capnp
+++ b/src/chervilstage/protocol/schema/upstreams.capnp
@@ -20,12 +20,22 @@
   records @0 :List(UpstreamRecord);
 }
 
+struct SilentUpstream {
+  record @0 :UpstreamRecord;
+  seconds @1 :Float64;
+}
+
+struct SilentUpstreams {
+  records @0 :List(SilentUpstream);
+}
+
 struct DigestItem {
   key @0 :UInt64;
   sequence @1 :UInt64;
   load @2 :UInt16;
   leaving @3 :Bool;
   left @4 :Bool;
+  silent @5 :Bool;
 }
 
 struct UpstreamDigest {
--- a/src/chervilstage/protocol/upstream_messages.py
+++ b/src/chervilstage/protocol/upstream_messages.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..state.registry import has_left, is_leaving
-from ..state.spread import DigestItem
+from ..state.spread import DigestItem, SilentRecord
 from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
 from .schemas import pack, schema, unpack
 
@@ -29,10 +29,39 @@
     return [read_record(item) for item in message.records]
 
 
+def encode_silent(records: Sequence[SilentRecord]) -> bytes:
+    """Return the encoding of the records of silent upstreams."""
+    message = schema("upstreams").SilentUpstreams.new_message()
+    items = message.init("records", len(records))
+    for item, silent in zip(items, records, strict=True):
+        write_record(item.record, silent.record)
+        item.seconds = silent.seconds
+    return pack(message)
+
+
+def decode_silent(data: bytes) -> list[SilentRecord]:
+    """Decode the records of silent upstreams.
+
+    :raises EnvelopeFormatError: the bytes are not such records.
+    """
+    message = unpack(schema("upstreams").SilentUpstreams, data)
+    return [
+        SilentRecord(record=read_record(item.record), seconds=item.seconds)
+        for item in message.records
+    ]
+
+
 def encode_digest(items: Sequence[DigestItem]) -> bytes:
     """Return the encoding of a digest."""
     message = schema("upstreams").UpstreamDigest.new_message()
-    message.items = [item._asdict() for item in items]
+    written = message.init("items", len(items))
+    for place, item in zip(written, items, strict=True):
+        place.key = item.key
+        place.sequence = item.sequence
+        place.load = item.load
+        place.leaving = item.leaving
+        place.left = item.left
+        place.silent = item.is_silent
     return pack(message)
 
 
@@ -49,6 +78,7 @@
             load=item.load,
             leaving=item.leaving,
             left=item.left,
+            is_silent=item.silent,
         )
         for item in message.items
     ]
--- a/src/chervilstage/state/flow_state.py
+++ b/src/chervilstage/state/flow_state.py
@@ -12,7 +12,7 @@
 from .in_force import ConfigurationInForce
 from .known_exceptions import KnownExceptions
 from .members import MemberTable
-from .registry import UpstreamRegistry, has_left
+from .registry import UpstreamRegistry
 from .types import Address, UpstreamId
 from .view import ALL_BUCKETS, View, ViewId
 
@@ -266,19 +266,29 @@
                 del entries[flow]
 
     def is_usable(self, upstream: UpstreamId) -> bool:
-        """Tell whether packets may be sent to an upstream.
+        """Tell whether packets of open flows may be sent to an upstream.
 
-        The registered identity must be the same, service included, its data centre in
-        service, and it must not have left.
+        The newest known identity must be the same, service included, and its data
+        centre in service. A silent upstream keeps its open flows until it is known to
+        have ended: its announcements may be lost while it lives.
         """
-        record = self.registry.records.get(upstream.address)
+        record = self.registry.followed(upstream)
         return (
-            record is not None
-            and record.identity == upstream
-            and not has_left(record)
-            and record.data_centre not in self.in_force.current.out
+            record is not None and record.data_centre not in self.in_force.current.out
         )
 
+    def takes_new_flows(self, upstream: UpstreamId) -> bool:
+        """Tell whether a new flow may go to an upstream; a silent one gets none."""
+        return self.registry.is_heard(upstream) and self.is_usable(upstream)
+
+    def is_over(self, service: str, pin: Pin, now: float) -> bool:
+        """Tell whether a pin is idle here and its upstream is not heard.
+
+        Unlike other idle flows such a flow is placed anew, unless a peer has it in use.
+        """
+        is_idle = self.tables[service].is_idle(pin, now)
+        return is_idle and not self.registry.is_heard(pin.upstream)
+
     def has_ended(self, upstream: UpstreamId) -> bool:
         """Tell whether the flows of an upstream are known to have ended.
 
@@ -289,7 +299,7 @@
         if record is None:
             return False
         if record.identity == upstream:
-            return has_left(record) or record.data_centre in self.in_force.current.out
+            return not self.is_usable(upstream)
         return record.identity.incarnation >= upstream.incarnation
 
     def peers_missing(self, service: str, bucket: int) -> list[str]:
--- a/src/chervilstage/state/registry.py
+++ b/src/chervilstage/state/registry.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from .types import Address, UpstreamPhase, UpstreamRecord
+from .types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
 from .upstream_keys import upstream_key
 
 Version = tuple[int, str, int]
@@ -14,7 +14,8 @@
 class Departed(NamedTuple):
     """The last record of an upstream that was removed, and when, in seconds.
 
-    ``has_ended`` tells that it has said so; the others were only not heard any more.
+    ``has_ended`` tells that it or a later run has said so; the others were only not
+    heard any more and keep their open flows.
     """
 
     record: UpstreamRecord
@@ -78,6 +79,26 @@
         address = self.by_key.get(key)
         return self.records.get(address) if address else None
 
+    def is_heard(self, upstream: UpstreamId) -> bool:
+        """Tell whether an upstream is registered under this identity."""
+        held = self.records.get(upstream.address)
+        return held is not None and held.identity == upstream
+
+    def followed(self, upstream: UpstreamId) -> UpstreamRecord | None:
+        """Return the record of an upstream that keeps its open flows.
+
+        It may be silent, but has not ended, and no later run holds its address.
+        """
+        record = self.records.get(upstream.address)
+        if record is None:
+            departed = self.departed.get(upstream.address)
+            if departed is None or departed.has_ended:
+                return None
+            record = departed.record
+        if record.identity != upstream or has_left(record):
+            return None
+        return record
+
     def of_service(self, service: str) -> list[UpstreamRecord]:
         """Return the records of a service, ordered by address."""
         found = [r for r in self.records.values() if r.identity.service == service]
@@ -95,6 +116,22 @@
             del self.request_holder[record.request_address]
         return record
 
+    def learn_silent(self, record: UpstreamRecord, since: float) -> None:
+        """Keep the record of an upstream that peers have heard and do not hear now.
+
+        :param since: when it was removed for its silence, in monotonic seconds.
+        """
+        address = record.identity.address
+        known = self.known(address)
+        if known is not None and known.identity == record.identity:
+            self._mark_phase(address, known, later_phase(known.phase, record.phase))
+            return
+        if known is not None and _version(record) <= _version(known):
+            return
+        if address in self.records:
+            self.remove(address, since)
+        self.departed[address] = Departed(record=record, at=since)
+
     def end(self, record: UpstreamRecord, now: float) -> bool:
         """Take note that a run of an upstream has ended, and tell if that is new.
 
@@ -141,9 +178,22 @@
             if _version(self.records[other]) > _version(record):
                 return False
             self.remove(other, now)
+        if other != address or record.request_address not in self.request_holder:
+            self._end_former(record)
         self.request_holder[record.request_address] = address
         return True
 
+    def _end_former(self, record: UpstreamRecord) -> None:
+        """Take note that older upstreams with this request address have ended."""
+        for address, departed in self.departed.items():
+            former = departed.record
+            if (
+                address != record.identity.address
+                and former.request_address == record.request_address
+                and _version(former) < _version(record)
+            ):
+                self.departed[address] = departed._replace(has_ended=True)
+
     def _mark_phase(
         self, address: Address, known: UpstreamRecord, phase: UpstreamPhase
     ) -> bool:
--- a/src/chervilstage/state/spread.py
+++ b/src/chervilstage/state/spread.py
@@ -4,17 +4,21 @@
 
 from typing import NamedTuple
 
-from .types import Address, UpstreamPhase
+from .types import Address, UpstreamPhase, UpstreamRecord
 
 
 class DigestItem(NamedTuple):
-    """The part of a record that changes with each announcement."""
+    """The part of a record that changes with each announcement.
+
+    ``is_silent`` tells that the sender knows the upstream and does not hear it.
+    """
 
     key: int
     sequence: int
     load: int
     leaving: bool
     left: bool = False
+    is_silent: bool = False
 
     @property
     def phase(self) -> UpstreamPhase:
@@ -24,6 +28,13 @@
         return UpstreamPhase.LEAVING if self.leaving else UpstreamPhase.READY
 
 
+class SilentRecord(NamedTuple):
+    """The last record of an upstream and for how many seconds it has been silent."""
+
+    record: UpstreamRecord
+    seconds: float
+
+
 class SpreadState:
     """What is to be told with the next refresh.
 
--- a/src/chervilstage/transport/registration.py
+++ b/src/chervilstage/transport/registration.py
@@ -16,6 +16,7 @@
     Effect,
     SendDigest,
     SendRecords,
+    SendSilent,
     answer_fetch,
     expire_records,
     full_digest,
@@ -23,6 +24,7 @@
     make_refresh,
     receive_digest,
     receive_records,
+    receive_silent,
     take_announcement,
 )
 from ..errors import ChervilstageError
@@ -33,9 +35,11 @@
     decode_digest,
     decode_fetch,
     decode_records,
+    decode_silent,
     encode_digest,
     encode_fetch,
     encode_records,
+    encode_silent,
 )
 from ..state.configuration import Configuration
 from ..state.counters import Counters
@@ -76,6 +80,7 @@
         self.rng = rng
         self.spread = SpreadState()
         link.register(Kind.UPSTREAM_RECORDS, self.receive_records)
+        link.register(Kind.UPSTREAM_SILENT, self.receive_silent)
         link.register(Kind.UPSTREAM_DIGEST, self.receive_digest)
         link.register(Kind.UPSTREAM_FETCH, self.receive_fetch)
 
@@ -139,7 +144,13 @@
 
     def receive_fetch(self, sender: str, body: bytes) -> None:
         """Send a peer the records that it lacks."""
-        self.perform(answer_fetch(self.registry, sender, decode_fetch(body)))
+        now = anyio.current_time()
+        keys = decode_fetch(body)
+        self.perform(answer_fetch(self.registry, sender, keys, now))
+
+    def receive_silent(self, sender: str, body: bytes) -> None:
+        """Keep the records of upstreams that a peer does not hear."""
+        receive_silent(self.registry, decode_silent(body), anyio.current_time())
 
     def on_member_event(self, event: MemberEvent) -> None:
         """Tell an entry that joins or restarts what there is to fetch."""
@@ -152,6 +163,9 @@
             if isinstance(effect, SendRecords):
                 body = encode_records(effect.records)
                 self.link.send(effect.peer, Kind.UPSTREAM_RECORDS, body)
+            elif isinstance(effect, SendSilent):
+                body = encode_silent(effect.records)
+                self.link.send(effect.peer, Kind.UPSTREAM_SILENT, body)
             elif isinstance(effect, SendDigest):
                 body = encode_digest(effect.items)
                 self.link.send(effect.peer, Kind.UPSTREAM_DIGEST, body)
--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -25,7 +25,7 @@
     ViewActivate,
     ViewPrepare,
 )
-from chervilstage.state.types import UpstreamPhase
+from chervilstage.state.types import UpstreamId, UpstreamPhase
 from chervilstage.state.view import ViewId, bucket_of, flow_key
 from testing.support.flow_group import SERVICES, FlowGroup
 
@@ -152,6 +152,29 @@
             self.no_flow_is_broken()
 
 
+class SilentUpstreams(PlannedChanges):
+    """Guards against flows that move because their upstream is not heard."""
+
+    @rule(place=st.integers(0, 1_000))
+    def announcements_are_lost(self, place: int) -> None:
+        heard = [a for a in self.group.records if a not in self.group.silent]
+        ready = [a for a in heard if self.group.records[a].phase is UpstreamPhase.READY]
+        if len(ready) > 4:
+            self.group.lose_announcements(ready[place % len(ready)])
+
+    @rule(seconds=st.floats(4.0, 9.0))
+    def pass_the_bound_of_silence(self, seconds: float) -> None:
+        for _ in range(4):
+            self.group.run(seconds / 4)
+            self.send(40)
+
+    @precondition(lambda self: self.group.silent)
+    @rule(place=st.integers(0, 1_000))
+    def announcements_arrive_again(self, place: int) -> None:
+        silent = sorted(self.group.silent)
+        self.group.hear_again(silent[place % len(silent)])
+
+
 class EntryLosses(GroupMachine):
     """Guards against losing flows that a surviving entry has pinned."""
 
@@ -205,6 +228,8 @@
 
 PlannedChanges.TestCase.settings = MACHINE
 EntryLosses.TestCase.settings = MACHINE
+SilentUpstreams.TestCase.settings = MACHINE
+SilentUpstreamsTests = SilentUpstreams.TestCase
 PlannedChangesTests = PlannedChanges.TestCase
 EntryLossesTests = EntryLosses.TestCase
 
@@ -336,6 +361,150 @@
         group.run(1.0)
         self.assertThat(group.broken, Equals([]))
 
+    def test_a_silent_upstream_keeps_its_flows_and_gets_no_new_ones(self) -> None:
+        """Guards against flows that move while an upstream is silent or heard again."""
+        group, silent = self.silent_group(12)
+        kept = [flow for flow, first in group.first.items() if first == silent]
+        group.placed.clear()
+        for flow in range(400):
+            group.packet(NAMES[flow % 4], SERVICES[0], flow)
+            group.run(0.02)
+        self.assertThat(group.placed[silent], Equals(0))
+        self.assertThat(group.first, HasLength(400))
+        group.hear_again(silent.address)
+        self.assertTrue(group.settle())
+        for flow in range(100):
+            group.packet(NAMES[flow % 4], SERVICES[0], flow)
+        group.run(1.0)
+        self.assertThat(group.broken, Equals([]))
+        self.assertThat([group.first[f] for f in kept], Equals([silent] * len(kept)))
+
+    def test_an_entry_that_joins_follows_the_flows_of_a_silent_upstream(self) -> None:
+        """Guards against flows that move at an entry that never heard an upstream."""
+        group, _ = self.silent_group(13)
+        group.kill_entry("e4")
+        group.run(3.0)
+        group.start_entry("e4")
+        self.assertTrue(group.settle())
+        for flow in range(100):
+            group.packet("e4", SERVICES[0], flow)
+        group.run(1.0)
+        self.assertThat(group.broken, Equals([]))
+        followed = [f for f, seen in group.seen_by.items() if "e4" in seen]
+        self.assertThat(followed, HasLength(100))
+
+    def test_an_entry_that_was_frozen_for_long_moves_no_flow(self) -> None:
+        """Guards against an entry that takes its own pause for silent upstreams."""
+        group = started_group(14)
+        for flow in range(100):
+            group.packet(NAMES[flow % 4], SERVICES[0], flow)
+        group.nodes["e3"].frozen = True
+        group.run(8.0)
+        group.thaw("e3")
+        for flow in range(100):
+            group.packet("e3", SERVICES[0], flow)
+        group.run(2.0)
+        self.assertThat(group.broken, Equals([]))
+
+    def test_flows_of_a_silent_upstream_end_with_a_later_run_at_its_address(
+        self,
+    ) -> None:
+        """Guards against flows that wait for a run that cannot come back."""
+        group, silent = self.silent_group(15)
+        group.add_upstream(SERVICES[0], silent.address.port, incarnation=2)
+        group.run(0.1)
+        for flow in range(100):
+            group.packet("e3", SERVICES[0], flow)
+        group.run(2.0)
+        self.assertNotIn(silent, group.first.values())
+        self.assertThat(group.broken, Equals([]))
+
+    def test_flows_of_a_silent_upstream_end_when_its_data_centre_is_out(self) -> None:
+        """Guards against packets to a data centre that operators have taken out."""
+        group, silent = self.silent_group(16)
+        group.take_out("away")
+        for node in group.nodes.values():
+            pins = (
+                p for b in node.state.tables[SERVICES[0]].buckets for p in b.values()
+            )
+            self.assertNotIn(silent, [pin.upstream for pin in pins])
+        for flow in range(100):
+            group.packet("e3", SERVICES[0], flow)
+        group.run(2.0)
+        self.assertNotIn(silent, group.first.values())
+
+    def test_an_idle_flow_of_a_dead_upstream_is_placed_anew(self) -> None:
+        """Guards against callers that come back to an upstream that is dead."""
+        group, silent = self.silent_group(17)
+        group.run(70.0)
+        group.placed.clear()
+        for flow in range(100):
+            group.packet("e3", SERVICES[0], flow)
+        group.run(2.0)
+        self.assertThat(group.placed[silent], Equals(0))
+        self.assertNotIn(silent, group.first.values())
+
+    def test_a_flow_of_a_silent_upstream_that_is_idle_at_one_entry_only_stays(
+        self,
+    ) -> None:
+        """Guards against an entry that ends a flow which others have in use."""
+        group, silent = self.silent_group(18)
+        for _ in range(4):
+            group.run(20.0)
+            for flow in range(100):
+                group.packet("e2", SERVICES[0], flow)
+        for flow in range(100):
+            group.packet("e3", SERVICES[0], flow)
+        group.run(2.0)
+        self.assertThat(group.broken, Equals([]))
+        self.assertIn(silent, group.first.values())
+
+    def test_a_flow_that_is_held_is_not_placed_at_an_upstream_that_falls_silent(
+        self,
+    ) -> None:
+        """Guards against new flows at an upstream that is not heard any more."""
+        group = started_group(19)
+        state = group.nodes["e3"].state
+        for peer in ("e1", "e2", "e4"):
+            state.mark_all_missing(peer)
+        group.packet("e3", SERVICES[0], 7)
+        (pending,) = state.pending.values()
+        state.registry.remove(pending.proposal.address, group.clock.now)
+        group.run(0.6)
+        self.assertThat(state.pending, HasLength(0))
+        self.assertThat(group.placed[pending.proposal], Equals(0))
+
+    def test_an_entry_stops_though_it_has_pinned_flows_of_an_ended_upstream(
+        self,
+    ) -> None:
+        """Guards against a planned stop that waits for pins nobody can take over."""
+        group = started_group(20)
+        for flow in range(100):
+            group.packet("e2", SERVICES[0], flow)
+        gone = next(iter(group.first.values()))
+        group.add_upstream(SERVICES[0], gone.address.port, phase=UpstreamPhase.LEFT)
+        group.run(1.0)
+        self.assertTrue(group.settle())
+        group.stop_entry("e2")
+        group.run(10.0)
+        self.assertNotIn("e2", group.nodes)
+
+    def silent_group(self, seed: int) -> tuple[FlowGroup, UpstreamId]:
+        """Return a group whose view no longer has an upstream that holds flows."""
+        group = started_group(seed)
+        silent = group.add_upstream(SERVICES[0], 60, data_centre="away")
+        group.run(1.0)
+        self.assertTrue(group.settle())
+        for flow in range(100):
+            group.packet(NAMES[flow % 4], SERVICES[0], flow)
+        group.lose_announcements(silent.address)
+        group.run(6.0)
+        self.assertTrue(group.settle())
+        for node in group.nodes.values():
+            self.assertNotIn(silent, node.state.view.buckets(SERVICES[0]))
+        self.assertIn(silent, group.first.values())
+        return group, silent
+
     def test_flows_of_an_upstream_that_has_left_go_to_another_at_once(self) -> None:
         """Guards against flows that wait for an upstream that has said its end."""
         group = started_group(11)
--- a/testing/coordination/test_registration.py
+++ b/testing/coordination/test_registration.py
@@ -167,6 +167,56 @@
         group.run(2)
         self.assertThat(registry.records, HasLength(0))
 
+    def test_entry_that_starts_learns_the_silent_upstreams_until_all_forget(
+        self,
+    ) -> None:
+        """Guards against an entry that does not know the upstream of an open flow."""
+        for seed in range(10):
+            group = FakeGroup(seed=seed, leases=False)
+            silent = record_of(0)
+            group.announce("e0", silent)
+            group.run(8)
+            group.network.loss = 0.2
+            group.start("e3")
+            group.run(20)
+            for entry in group.entries.values():
+                registry = entry.registry
+                self.assertThat(registry.records, HasLength(0))
+                self.assertThat(registry.followed(silent.identity), Equals(silent))
+            group.network.now += 7_200
+            group.run(30)
+            for entry in group.entries.values():
+                self.assertThat(entry.registry.departed, HasLength(0))
+
+    def test_missed_end_of_an_upstream_is_told_by_a_later_digest(self) -> None:
+        """Guards against flows that stay with an upstream that has said its end."""
+        group = FakeGroup(seed=3, leases=False)
+        group.announce("e0", record_of(0))
+        group.run(1)
+        group.network.side = frozenset({"e3"})
+        group.announce("e0", record_of(0, sequence=2, left=True))
+        group.run(8)
+        missed = group.entries["e3"].registry
+        self.assertIsNotNone(missed.followed(record_of(0).identity))
+        group.network.side = frozenset()
+        group.run(2)
+        self.assertIsNone(missed.followed(record_of(0).identity))
+
+    def test_silent_upstream_ends_when_a_later_one_has_its_request_address(
+        self,
+    ) -> None:
+        """Guards against flows that wait for a run that a later one has replaced."""
+        former, later = record_of(0, incarnation=3), record_of(1, incarnation=5)
+        later = later._replace(request_address=former.request_address)
+        for is_silent in (False, True):
+            registry = UpstreamRegistry()
+            registry.merge(former, 0.0)
+            if is_silent:
+                registry.remove(former.identity.address, 1.0)
+                self.assertThat(registry.followed(former.identity), Equals(former))
+            registry.merge(later, 2.0)
+            self.assertThat(registry.followed(former.identity), Equals(None))
+
     def test_old_or_crossed_messages_never_undo_leaving(self) -> None:
         for removed in (False, True):
             registry = UpstreamRegistry()
--- a/testing/protocol/test_upstream_messages.py
+++ b/testing/protocol/test_upstream_messages.py
@@ -17,12 +17,14 @@
     decode_digest,
     decode_fetch,
     decode_records,
+    decode_silent,
     encode_digest,
     encode_fetch,
     encode_records,
+    encode_silent,
 )
 from chervilstage.state.leases import AskItem, GrantItem
-from chervilstage.state.spread import DigestItem
+from chervilstage.state.spread import DigestItem, SilentRecord
 from testing.support.upstream_fakes import record_of
 
 SMALL = st.integers(0, 2**16 - 1)
@@ -56,6 +58,7 @@
     load=SMALL,
     leaving=st.booleans(),
     left=st.booleans(),
+    is_silent=st.booleans(),
 )
 
 
@@ -84,6 +87,13 @@
         ]
         self.assertThat(decode_records(encode_records(records)), Equals(records))
 
+    def test_silent_records_round_trip(self) -> None:
+        records = [
+            SilentRecord(record=record_of(n, left=n == 1), seconds=n + 0.5)
+            for n in range(3)
+        ]
+        self.assertThat(decode_silent(encode_silent(records)), Equals(records))
+
     @given(st.binary(max_size=60))
     def test_foreign_bytes_are_refused_or_decoded(self, data: bytes) -> None:
         for decode in (decode_ask, decode_grants, decode_digest, decode_fetch):
--- a/testing/support/flow_group.py
+++ b/testing/support/flow_group.py
@@ -16,10 +16,25 @@
 from chervilstage.coordination.flows import end_flows_out, route_packet
 from chervilstage.coordination.hand_over import is_handed_over
 from chervilstage.coordination.membership import (
+    MemberEventKind,
     expire_members,
     make_heartbeat,
     receive_heartbeat,
 )
+from chervilstage.coordination.registration import (
+    Effect,
+    FetchRecords,
+    SendDigest,
+    SendRecords,
+    SendSilent,
+    answer_fetch,
+    expire_records,
+    full_digest,
+    make_refresh,
+    receive_digest,
+    receive_records,
+    receive_silent,
+)
 from chervilstage.state.configuration import Configuration, Inventory, Service
 from chervilstage.state.counters import Counters
 from chervilstage.state.flow_state import FlowState
@@ -27,6 +42,7 @@
 from chervilstage.state.in_force import ConfigurationInForce
 from chervilstage.state.members import Heartbeat, MemberReport, MemberTable
 from chervilstage.state.registry import UpstreamRegistry
+from chervilstage.state.spread import SpreadState
 from chervilstage.state.types import (
     Address,
     Peer,
@@ -40,7 +56,10 @@
 
 HEARTBEAT_TICKS = 12
 ANNOUNCE_TICKS = 50
+REFRESH_TICKS = 25
 LEASE_SECONDS = 1.0
+# An entry counts an upstream as silent after 5 s, and may hold a packet for 1.2 s.
+SILENT_PLACEMENT_SECONDS = 8.0
 SERVICES = ("alley-desk", "league-ledger")
 
 
@@ -49,6 +68,7 @@
 
     def __init__(self, *, state: FlowState) -> None:
         self.state = state
+        self.spread = SpreadState()
         self.frozen = False
         self.stopping = False
         self.heard: list[tuple[str, object]] = []
@@ -61,7 +81,8 @@
     ``first`` is the upstream that first got a packet of each flow. ``broken`` lists
     the flows whose packets went elsewhere while it was there; ``orphans`` are those of
     them that no entry of ``seen_by`` had pinned any more. ``suspects`` are entries that
-    were frozen and whose pins their peers do not have.
+    were frozen and whose pins their peers do not have. ``silent`` are the upstreams
+    whose announcements are lost, and since when.
 
     :param on_send: called with each message between entries.
     """
@@ -81,6 +102,13 @@
         self.clock = FakeClock()
         self.rng = rng
         self.network = FakeNetwork(clock=self.clock, rng=rng, loss=loss, delay=delay)
+        # Messages on records take no random numbers from those on flows.
+        self.record_rng = Random(loss)
+        self.record_network = FakeNetwork(
+            clock=self.clock, rng=self.record_rng, loss=loss, delay=delay
+        )
+        self.record_network.cuts = self.network.cuts
+        self.record_network.muted = self.network.muted
         self.names = sorted(names)
         self.services = [
             Service(
@@ -110,6 +138,7 @@
         self.placed: Counter[UpstreamId] = Counter()
         self.late_placements: list[UpstreamId] = []
         self.leaving_since: dict[UpstreamId, float] = {}
+        self.silent: dict[Address, float] = {}
         self.incarnation = 0
         self.ticks = 0
 
@@ -135,8 +164,9 @@
         state.in_force.take(self.configuration)
         for service in self.services:
             state.add_service(service)
-        for record in self.records.values():
-            state.registry.merge(record, self.clock.now)
+        for address, record in self.records.items():
+            if address not in self.silent:
+                state.registry.merge(record, self.clock.now)
         self.nodes[name] = Node(state=state)
 
     def stop_entry(self, name: str) -> None:
@@ -153,6 +183,7 @@
     def announce(self, record: UpstreamRecord) -> None:
         """Let every entry hear of an upstream, each at a time of its own."""
         self.records[record.identity.address] = record
+        self.silent.pop(record.identity.address, None)
         if record.phase is UpstreamPhase.LEAVING:
             self.leaving_since.setdefault(record.identity, self.clock.now)
         for name in self.nodes:
@@ -184,6 +215,15 @@
         )
         return identity
 
+    def lose_announcements(self, address: Address) -> None:
+        """Let no entry hear an upstream any more, though it lives."""
+        self.silent[address] = self.clock.now
+
+    def hear_again(self, address: Address) -> None:
+        """Let the announcements of a silent upstream arrive again."""
+        record = self.records[address]
+        self.announce(record._replace(sequence=record.sequence + 1))
+
     def take_out(self, data_centre: str) -> None:
         """Put a configuration in force that takes a data centre out."""
         self.configuration = self.configuration._replace(
@@ -210,7 +250,7 @@
     def deliver(self, name: str, service: str, key: int, upstream: UpstreamId) -> None:
         """Check a packet that an entry sends to an upstream."""
         flow = (service, key)
-        record = self.nodes[name].state.registry.records.get(upstream.address)
+        record = self.nodes[name].state.registry.known(upstream.address)
         if record is None or record.identity.service != service:
             self.foreign += 1
         if self.records[upstream.address].identity != upstream:
@@ -224,6 +264,9 @@
             since = self.leaving_since.get(upstream)
             if since is not None and self.clock.now - since > 2.0:
                 self.late_placements.append(upstream)
+            silent_since = self.silent.get(upstream.address, self.clock.now)
+            if self.clock.now - silent_since > SILENT_PLACEMENT_SECONDS:
+                self.late_placements.append(upstream)
         elif upstream != first:
             self.broken.append(flow)
             if not self.seen_by[flow]:
@@ -264,20 +307,49 @@
         now = self.clock.now
         if isinstance(message, UpstreamRecord):
             state.registry.merge(message, now)
+            if state.registry.is_heard(message.identity):
+                state.registry.heard_at[message.identity.address] = now
         elif isinstance(message, Heartbeat):
             for event in receive_heartbeat(state.members, sender, message, now):
                 self.apply(name, take_member_event(state, event, now))
+                if event.kind is not MemberEventKind.REPORTED:
+                    self.send_records(name, full_digest(state.registry, event.name))
+        elif isinstance(message, Effect):
+            self.send_records(name, self.receive_records(name, sender, message))
         else:
             self.apply(name, take_flow_message(state, sender, message, now))
 
+    def receive_records(self, name: str, sender: str, message: Effect) -> list[Effect]:
+        """Let an entry take a message on upstream records."""
+        node, now = self.nodes[name], self.clock.now
+        registry = node.state.registry
+        match message:
+            case SendRecords():
+                return receive_records(
+                    registry, node.spread, sender, message.records, now
+                )
+            case SendDigest():
+                return receive_digest(registry, node.spread, sender, message.items, now)
+            case FetchRecords():
+                return answer_fetch(registry, sender, message.keys, now)
+            case SendSilent():
+                receive_silent(registry, message.records, now)
+                return []
+
+    def send_records(self, name: str, effects: Iterable[Effect]) -> None:
+        """Send messages on upstream records."""
+        for effect in effects:
+            self.record_network.send(name, effect.peer, effect)
+
     def tick(self) -> None:
         """Move the clock by one tick and let everything happen that is due."""
         self.clock.now += TICK_SECONDS
         self.ticks += 1
         if self.ticks % ANNOUNCE_TICKS == 0:
-            for record in self.records.values():
-                self.announce(record)
-        for parcel in self.network.due():
+            for address, record in self.records.items():
+                if address not in self.silent:
+                    self.announce(record)
+        for parcel in [*self.network.due(), *self.record_network.due()]:
             node = self.nodes.get(parcel.receiver)
             if node is None:
                 continue
@@ -299,6 +371,12 @@
                 self.apply(name, take_member_event(state, event, now))
             for peer in state.members.members:
                 self.send(name, peer, make_heartbeat(state.members, peer, now))
+        if (self.ticks + place) % REFRESH_TICKS == 0:
+            expire_records(state.registry, state.members, now)
+            refresh = make_refresh(
+                state.registry, node.spread, state.members, now, self.record_rng
+            )
+            self.send_records(name, refresh)
         self.apply(name, run_flows(state, now))
         if node.stopping and is_handed_over(state):
             del self.nodes[name]
--- a/testing/support/upstream_fakes.py
+++ b/testing/support/upstream_fakes.py
@@ -19,12 +19,14 @@
     Effect,
     SendDigest,
     SendRecords,
+    SendSilent,
     answer_fetch,
     expire_records,
     full_digest,
     make_refresh,
     receive_digest,
     receive_records,
+    receive_silent,
     take_announcement,
 )
 from chervilstage.state.leases import HeldLeases, OwnedLeases
@@ -295,7 +297,10 @@
             return receive_records(registry, entry.spread, sender, effect.records, now)
         if isinstance(effect, SendDigest):
             return receive_digest(registry, entry.spread, sender, effect.items, now)
-        return answer_fetch(registry, sender, effect.keys)
+        if isinstance(effect, SendSilent):
+            receive_silent(registry, effect.records, now)
+            return []
+        return answer_fetch(registry, sender, effect.keys, now)
 
     def announce(self, name: str, record: UpstreamRecord) -> None:
         """Let an upstream announce itself to an entry."""
