Wait for a new run that the view names before a flow is placed

What callers saw: nothing failed and nothing was silent, yet a new flow was pinned at one upstream by one entry and at another by the next, so that its packets moved.

Cause: an entry that still held an older run of an address took the run that the view names for unusable and chose the next upstream of the bucket, after asking peers that had not yet seen the flow. The other entries placed it by the view without asking. An address without any record was waited for already.

The new case broke flows before the change and passes now.

Change: a view's upstream counts as not registered while the record held of its address is older.

--- a/src/chervilstage/coordination/flows.py
+++ b/src/chervilstage/coordination/flows.py
@@ -115,6 +115,12 @@
     return peers[bucket % len(peers)] if peers else None
 
 
+def has_heard_of(state: FlowState, upstream: UpstreamId) -> bool:
+    """Tell whether this run of an upstream or a later one is registered here."""
+    held = state.registry.records.get(upstream.address)
+    return held is not None and held.identity.incarnation >= upstream.incarnation
+
+
 def choose_upstream_of(
     state: FlowState, service: str, bucket: int
 ) -> UpstreamId | None:
@@ -124,7 +130,7 @@
     it and may have sent it packets, or the next view leaves it out.
     """
     chosen = state.view.buckets(service)[bucket]
-    if chosen is not None and chosen.address not in state.registry.records:
+    if chosen is not None and not has_heard_of(state, chosen):
         return None
     if (
         chosen is not None
--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -489,6 +489,31 @@
         group.run(10.0)
         self.assertNotIn("e2", group.nodes)
 
+    def test_an_entry_that_has_not_heard_a_new_run_of_the_view_places_no_flow(
+        self,
+    ) -> None:
+        """Guards against two entries that place one flow at different upstreams."""
+        group = started_group(21)
+        group.add_upstream(SERVICES[1], 100, phase=UpstreamPhase.LEAVING)
+        group.run(1.0)
+        self.assertTrue(group.settle())
+        group.network.cuts.add(frozenset(("upstream-3", "e2")))
+        group.record_network.loss = 1.0
+        added = group.add_upstream(SERVICES[0], 100, incarnation=2)
+        group.run(1.0)
+        self.assertTrue(group.settle())
+        buckets = group.nodes["e2"].state.view.buckets(SERVICES[0])
+        self.assertIn(added, buckets)
+        for flow in range(400):
+            key = flow_key(group.seeds[SERVICES[0]], flow.to_bytes(6, "big"))
+            if buckets[bucket_of(key)] == added:
+                group.packet("e2", SERVICES[0], flow)
+                group.run(0.1)
+                group.packet("e3", SERVICES[0], flow)
+                group.run(0.1)
+        self.assertThat(group.broken, Equals([]))
+        self.assertThat(set(group.first.values()), Equals({added}))
+
     def silent_group(self, seed: int) -> tuple[FlowGroup, UpstreamId]:
         """Return a group whose view no longer has an upstream that holds flows."""
         group = started_group(seed)
