Prepare a view again at an entry that restarts in its round

What callers saw: after an entry had restarted during a planned change of the view, no later planned change came into force, and packets of flows in the moving buckets were asked about.

Cause: the coordinator kept the acknowledgement of the entry's run before. The new run knew nothing of the view and answered no list request for it, so the others waited for its lists and the coordinator for them.

Change: the acknowledgements of a peer go when it is lost or restarts.

The new case failed before.

Result: testing/coordination/test_flows.py, test_flow_services.py and test_view.py with PYTHONHASHSEED 0 and 4, testing/programs/test_flows.py and test_upstreams.py, and 60 random examples of PlannedChanges pass.

--- a/src/chervilstage/coordination/flow_events.py
+++ b/src/chervilstage/coordination/flow_events.py
@@ -141,6 +141,11 @@
         for service in state.tables
     }
     state.forget_peer(peer)
+    if state.round is not None:
+        # A later run of the peer knows nothing of the view.
+        state.round = state.round._replace(
+            prepared=state.round.prepared - {peer}, settled=state.round.settled - {peer}
+        )
     state.exchange.heard.clear()
     if any(untold.values()):
         for other in sorted(state.members.live_names):
--- a/testing/coordination/test_flows.py
+++ b/testing/coordination/test_flows.py
@@ -16,7 +16,8 @@
 from testtools.matchers import Equals, HasLength
 
 from chervilstage.coordination.flow_effects import SendPeer
-from chervilstage.coordination.flow_events import take_flow_message
+from chervilstage.coordination.flow_events import take_flow_message, take_member_event
+from chervilstage.coordination.membership import MemberEvent, MemberEventKind
 from chervilstage.coordination.pin_lists import answer_list
 from chervilstage.state.flow_messages import (
     BucketMove,
@@ -514,6 +515,18 @@
         self.assertThat(group.broken, Equals([]))
         self.assertThat(set(group.first.values()), Equals({added}))
 
+    def test_an_entry_that_restarts_in_a_round_prepares_the_view_again(self) -> None:
+        """Guards against a view that waits for ever for lists of a restarted entry."""
+        group = started_group(22)
+        state = group.nodes["e1"].state
+        group.add_upstream(SERVICES[0], 95)
+        while state.round is None or "e4" not in state.round.prepared:
+            group.tick()
+            self.assertLess(group.clock.now, 1_100.0)
+        lost = MemberEvent(kind=MemberEventKind.LOST, name="e4")
+        take_member_event(state, lost, group.clock.now)
+        self.assertNotIn("e4", state.round.prepared)
+
     def silent_group(self, seed: int) -> tuple[FlowGroup, UpstreamId]:
         """Return a group whose view no longer has an upstream that holds flows."""
         group = started_group(seed)
