--- a/src/chervilstage/protocol/schema/upstreams.capnp
+++ b/src/chervilstage/protocol/schema/upstreams.capnp
@@ -13,17 +13,29 @@
   load @9 :UInt16;
   label @10 :UInt64;
   coldSeconds @11 :Float64;
+  left @12 :Bool;
 }
 
 struct UpstreamRecords {
   records @0 :List(UpstreamRecord);
 }
 
+struct SilentUpstream {
+  record @0 :UpstreamRecord;
+  seconds @1 :Float64;
+}
+
+struct SilentUpstreams {
+  records @0 :List(SilentUpstream);
+}
+
 struct DigestItem {
   key @0 :UInt64;
   sequence @1 :UInt64;
   load @2 :UInt16;
   leaving @3 :Bool;
+  left @4 :Bool;
+  silent @5 :Bool;
 }
 
 struct UpstreamDigest {
--- a/src/chervilstage/protocol/upstream_messages.py
+++ b/src/chervilstage/protocol/upstream_messages.py
@@ -5,7 +5,8 @@
 from collections.abc import Sequence
 from typing import Any
 
-from ..state.spread import DigestItem
+from ..state.registry import has_left, is_leaving
+from ..state.spread import DigestItem, SilentRecord
 from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
 from .schemas import pack, schema, unpack
 
@@ -28,10 +29,39 @@
     return [read_record(item) for item in message.records]
 
 
+def encode_silent(records: Sequence[SilentRecord]) -> bytes:
+    """Return the encoding of the records of silent upstreams."""
+    message = schema("upstreams").SilentUpstreams.new_message()
+    items = message.init("records", len(records))
+    for item, silent in zip(items, records, strict=True):
+        write_record(item.record, silent.record)
+        item.seconds = silent.seconds
+    return pack(message)
+
+
+def decode_silent(data: bytes) -> list[SilentRecord]:
+    """Decode the records of silent upstreams.
+
+    :raises EnvelopeFormatError: the bytes are not such records.
+    """
+    message = unpack(schema("upstreams").SilentUpstreams, data)
+    return [
+        SilentRecord(record=read_record(item.record), seconds=item.seconds)
+        for item in message.records
+    ]
+
+
 def encode_digest(items: Sequence[DigestItem]) -> bytes:
     """Return the encoding of a digest."""
     message = schema("upstreams").UpstreamDigest.new_message()
-    message.items = [item._asdict() for item in items]
+    written = message.init("items", len(items))
+    for place, item in zip(written, items, strict=True):
+        place.key = item.key
+        place.sequence = item.sequence
+        place.load = item.load
+        place.leaving = item.leaving
+        place.left = item.left
+        place.silent = item.is_silent
     return pack(message)
 
 
@@ -43,7 +73,12 @@
     message = unpack(schema("upstreams").UpstreamDigest, data)
     return [
         DigestItem(
-            key=item.key, sequence=item.sequence, load=item.load, leaving=item.leaving
+            key=item.key,
+            sequence=item.sequence,
+            load=item.load,
+            leaving=item.leaving,
+            left=item.left,
+            is_silent=item.silent,
         )
         for item in message.items
     ]
@@ -72,13 +107,20 @@
     item.service = record.identity.service
     item.dataCentre = record.data_centre
     item.sequence = record.sequence
-    item.leaving = record.phase is UpstreamPhase.LEAVING
+    item.leaving = is_leaving(record)
+    item.left = has_left(record)
     item.slots = record.slots
     item.load = record.load
     item.label = record.label
     item.coldSeconds = record.cold_seconds
 
 
+def _phase(item: Any) -> UpstreamPhase:
+    if item.left:
+        return UpstreamPhase.LEFT
+    return UpstreamPhase.LEAVING if item.leaving else UpstreamPhase.READY
+
+
 def read_record(item: Any) -> UpstreamRecord:
     """Return the record of a message."""
     return UpstreamRecord(
@@ -90,7 +132,7 @@
         request_address=Address(host=item.host, port=item.requestPort),
         data_centre=item.dataCentre,
         sequence=item.sequence,
-        phase=UpstreamPhase.LEAVING if item.leaving else UpstreamPhase.READY,
+        phase=_phase(item),
         slots=item.slots,
         load=item.load,
         label=item.label,
--- a/src/chervilstage/state/flow_state.py
+++ b/src/chervilstage/state/flow_state.py
@@ -266,28 +266,40 @@
                 del entries[flow]
 
     def is_usable(self, upstream: UpstreamId) -> bool:
-        """Tell whether packets may be sent to an upstream.
+        """Tell whether packets of open flows may be sent to an upstream.
 
-        The registered identity must be the same, service included, and its data
-        centre in service.
+        The newest known identity must be the same, service included, and its data
+        centre in service. A silent upstream keeps its open flows until it is known to
+        have ended: its announcements may be lost while it lives.
         """
-        record = self.registry.records.get(upstream.address)
+        record = self.registry.followed(upstream)
         return (
-            record is not None
-            and record.identity == upstream
-            and record.data_centre not in self.in_force.current.out
+            record is not None and record.data_centre not in self.in_force.current.out
         )
 
+    def takes_new_flows(self, upstream: UpstreamId) -> bool:
+        """Tell whether a new flow may go to an upstream; a silent one gets none."""
+        return self.registry.is_heard(upstream) and self.is_usable(upstream)
+
+    def is_over(self, service: str, pin: Pin, now: float) -> bool:
+        """Tell whether a pin is idle here and its upstream is not heard.
+
+        Unlike other idle flows such a flow is placed anew, unless a peer has it in use.
+        """
+        is_idle = self.tables[service].is_idle(pin, now)
+        return is_idle and not self.registry.is_heard(pin.upstream)
+
     def has_ended(self, upstream: UpstreamId) -> bool:
         """Tell whether the flows of an upstream are known to have ended.
 
-        Its address has changed hands, or its data centre is out of service.
+        It has left, its address has changed hands, or its data centre is out of
+        service.
         """
-        record = self.registry.records.get(upstream.address)
+        record = self.registry.known(upstream.address)
         if record is None:
             return False
         if record.identity == upstream:
-            return record.data_centre in self.in_force.current.out
+            return not self.is_usable(upstream)
         return record.identity.incarnation >= upstream.incarnation
 
     def peers_missing(self, service: str, bucket: int) -> list[str]:
--- a/testing/coordination/test_registration.py
+++ b/testing/coordination/test_registration.py
@@ -13,8 +13,13 @@
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
-from chervilstage.state.registry import UpstreamRegistry, is_leaving
-from chervilstage.state.types import Address, UpstreamRecord
+from chervilstage.state.registry import (
+    PHASE_ORDER,
+    UpstreamRegistry,
+    has_left,
+    is_leaving,
+)
+from chervilstage.state.types import UpstreamId, UpstreamRecord
 from testing.support.upstream_fakes import FakeGroup, record_of
 
 ENTRIES = [f"e{n}" for n in range(4)]
@@ -32,20 +37,18 @@
         self.group.run(1)
         self.past: list[UpstreamRecord] = []
         self.newest: dict[int, UpstreamRecord] = {}
-        self.left: set[tuple[Address, int]] = set()
+        self.phases: dict[str, dict[UpstreamId, int]] = {}
 
     def announce(self, entry: str, number: int, record: UpstreamRecord) -> None:
         """Announce something new."""
         self.newest[number] = record
         self.past.append(record)
-        if is_leaving(record):
-            self.left.add((record.identity.address, record.identity.incarnation))
         self.group.announce(entry, record)
 
     @rule(
         number=st.integers(0, UPSTREAMS - 1),
         entry=st.sampled_from(ENTRIES),
-        change=st.sampled_from(["same", "same", "leave", "replace"]),
+        change=st.sampled_from(["same", "same", "leave", "end", "replace"]),
         service=st.sampled_from(["alley-desk", "league-ledger"]),
     )
     def tell(self, number: int, entry: str, change: str, service: str) -> None:
@@ -61,6 +64,7 @@
             incarnation=incarnation,
             sequence=sequence,
             leaving=change == "leave",
+            left=change == "end",
             service=service,
         )
         self.announce(entry, number, record)
@@ -85,15 +89,14 @@
         self.group.run(seconds)
 
     @invariant()
-    def leaving_is_never_undone(self) -> None:
+    def no_phase_is_undone(self) -> None:
         for entry in self.group.entries.values() if self.newest else ():
-            heard = getattr(entry, "left", set())
+            heard = self.phases.setdefault(entry.name, {})
             for record in entry.registry.records.values():
-                run = (record.identity.address, record.identity.incarnation)
-                if is_leaving(record):
-                    heard.add(run)
-                assert run not in heard or is_leaving(record), (entry.name, record)
-            entry.left = heard  # type: ignore[attr-defined]
+                phase = PHASE_ORDER.index(record.phase)
+                before = heard.setdefault(record.identity, phase)
+                assert phase >= before, (entry.name, record)
+                heard[record.identity] = phase
 
     @rule()
     def converge(self) -> None:
@@ -130,6 +133,18 @@
             late = [v for v in views if not all(map(is_leaving, v.values()))]
             self.assertThat(late, HasLength(0), f"seed {seed}")
 
+    def test_end_of_an_upstream_is_known_within_two_seconds_despite_loss(self) -> None:
+        for seed in range(40):
+            group = FakeGroup(seed=seed)
+            group.announce("e0", record_of(0, leaving=True))
+            group.run(2)
+            group.network.loss = 0.2
+            group.announce("e0", record_of(0, sequence=2, left=True))
+            group.run(LEAVE_SECONDS)
+            views = [e.registry.records for e in group.entries.values()]
+            late = [v for v in views if not all(map(has_left, v.values()))]
+            self.assertThat(late, HasLength(0), f"seed {seed}")
+
     def test_entry_that_restarts_gets_all_records(self) -> None:
         group = FakeGroup(seed=1)
         for number in range(25):
@@ -152,6 +167,56 @@
         group.run(2)
         self.assertThat(registry.records, HasLength(0))
 
+    def test_entry_that_starts_learns_the_silent_upstreams_until_all_forget(
+        self,
+    ) -> None:
+        """Guards against an entry that does not know the upstream of an open flow."""
+        for seed in range(10):
+            group = FakeGroup(seed=seed, leases=False)
+            silent = record_of(0)
+            group.announce("e0", silent)
+            group.run(8)
+            group.network.loss = 0.2
+            group.start("e3")
+            group.run(20)
+            for entry in group.entries.values():
+                registry = entry.registry
+                self.assertThat(registry.records, HasLength(0))
+                self.assertThat(registry.followed(silent.identity), Equals(silent))
+            group.network.now += 7_200
+            group.run(30)
+            for entry in group.entries.values():
+                self.assertThat(entry.registry.departed, HasLength(0))
+
+    def test_missed_end_of_an_upstream_is_told_by_a_later_digest(self) -> None:
+        """Guards against flows that stay with an upstream that has said its end."""
+        group = FakeGroup(seed=3, leases=False)
+        group.announce("e0", record_of(0))
+        group.run(1)
+        group.network.side = frozenset({"e3"})
+        group.announce("e0", record_of(0, sequence=2, left=True))
+        group.run(8)
+        missed = group.entries["e3"].registry
+        self.assertIsNotNone(missed.followed(record_of(0).identity))
+        group.network.side = frozenset()
+        group.run(2)
+        self.assertIsNone(missed.followed(record_of(0).identity))
+
+    def test_silent_upstream_ends_when_a_later_one_has_its_request_address(
+        self,
+    ) -> None:
+        """Guards against flows that wait for a run that a later one has replaced."""
+        former, later = record_of(0, incarnation=3), record_of(1, incarnation=5)
+        later = later._replace(request_address=former.request_address)
+        for is_silent in (False, True):
+            registry = UpstreamRegistry()
+            registry.merge(former, 0.0)
+            if is_silent:
+                registry.remove(former.identity.address, 1.0)
+                self.assertThat(registry.followed(former.identity), Equals(former))
+            registry.merge(later, 2.0)
+            self.assertThat(registry.followed(former.identity), Equals(None))
+
     def test_old_or_crossed_messages_never_undo_leaving(self) -> None:
         for removed in (False, True):
             registry = UpstreamRegistry()
@@ -163,6 +228,17 @@
             phases = [is_leaving(r) for r in registry.records.values()]
             self.assertThat(phases, Equals([True]))
 
+    def test_old_or_crossed_messages_never_undo_the_end(self) -> None:
+        for removed in (False, True):
+            registry = UpstreamRegistry()
+            registry.merge(record_of(0, sequence=2, left=True), 0.0)
+            if removed:
+                registry.remove(record_of(0).identity.address, 1.0)
+            registry.merge(record_of(0, sequence=1, leaving=True), 2.0)
+            registry.merge(record_of(0, sequence=3), 2.0)
+            phases = [has_left(r) for r in registry.records.values()]
+            self.assertThat(phases, Equals([True]))
+
     def test_removed_upstream_needs_a_newer_announcement(self) -> None:
         registry = UpstreamRegistry()
         registry.merge(record_of(0, sequence=5), 0.0)
--- a/testing/support/upstream_fakes.py
+++ b/testing/support/upstream_fakes.py
@@ -19,12 +19,14 @@
     Effect,
     SendDigest,
     SendRecords,
+    SendSilent,
     answer_fetch,
     expire_records,
     full_digest,
     make_refresh,
     receive_digest,
     receive_records,
+    receive_silent,
     take_announcement,
 )
 from chervilstage.state.leases import HeldLeases, OwnedLeases
@@ -51,12 +53,14 @@
     incarnation: int = 1,
     sequence: int = 1,
     leaving: bool = False,
+    left: bool = False,
     service: str = SERVICE,
     data_centre: str = "gl-erie",
     slots: int = 4,
 ) -> UpstreamRecord:
     """Return the announcement of upstream ``number``."""
     host = f"127.1.0.{number + 1}"
+    phase = UpstreamPhase.LEAVING if leaving else UpstreamPhase.READY
     return UpstreamRecord(
         identity=UpstreamId(
             address=Address(host=host, port=9000),
@@ -66,7 +70,7 @@
         request_address=Address(host=host, port=9001),
         data_centre=data_centre,
         sequence=sequence,
-        phase=UpstreamPhase.LEAVING if leaving else UpstreamPhase.READY,
+        phase=UpstreamPhase.LEFT if left else phase,
         slots=slots,
         load=0,
     )
@@ -293,7 +297,10 @@
             return receive_records(registry, entry.spread, sender, effect.records, now)
         if isinstance(effect, SendDigest):
             return receive_digest(registry, entry.spread, sender, effect.items, now)
-        return answer_fetch(registry, sender, effect.keys)
+        if isinstance(effect, SendSilent):
+            receive_silent(registry, effect.records, now)
+            return []
+        return answer_fetch(registry, sender, effect.keys, now)
 
     def announce(self, name: str, record: UpstreamRecord) -> None:
         """Let an upstream announce itself to an entry."""
