Show that the first opening packet of an entry is dropped

Callers saw: the first opening packet that comes to an entry that was ready and idle for more than 1.4 s is dropped as attempt_over, and the caller waits for its next copy.

Cause: receive_datagrams tells that the socket is empty only after it has read a datagram, so ArrivalBound counts the time from the opening of the socket as a wait.

--- a/testing/transport/test_token_relay.py
+++ b/testing/transport/test_token_relay.py
@@ -10,6 +10,7 @@
 
 from chervilstage.state.counters import Counters
 from chervilstage.state.types import Address
+from chervilstage.transport.clock import replica_clock
 from chervilstage.transport.datagrams import bound_address, open_datagram_socket
 from chervilstage.transport.token_relay import TokenRelay
 from testing.support.token_relays import FRONT, RelayDriver, make_record, opening_codec
@@ -18,20 +19,27 @@
 ATTEMPT_SECONDS = 1.4
 
 
-def test_an_opening_packet_that_waited_longer_than_its_caller_reaches_no_upstream() -> (
-    None
-):
-    """Guards against a second answer to a caller whose flow is open elsewhere."""
-    upstream = open_datagram_socket("127.0.0.1", 0)
+def make_relay(upstream: Address) -> TokenRelay:
+    """Return a relay that knows one upstream, heard of just now."""
     record = make_record(1)
-    identity = record.identity._replace(address=bound_address(upstream))
-    driver = RelayDriver(records=[record._replace(identity=identity)])
-    relay = TokenRelay(
+    identity = record.identity._replace(address=upstream)
+    driver = RelayDriver(records=[])
+    driver.now = replica_clock()
+    driver.hear(record._replace(identity=identity))
+    return TokenRelay(
         address=Address(host="127.0.0.1", port=0),
         state=driver.state,
         codec=opening_codec(FRONT),
         counters=Counters(),
     )
+
+
+def test_an_opening_packet_that_waited_longer_than_its_caller_reaches_no_upstream() -> (
+    None
+):
+    """Guards against a second answer to a caller whose flow is open elsewhere."""
+    upstream = open_datagram_socket("127.0.0.1", 0)
+    relay = make_relay(bound_address(upstream))
     caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     caller.sendto(b"opening", bound_address(relay.sock))
     time.sleep(ATTEMPT_SECONDS + 0.2)
@@ -49,3 +57,41 @@
     for sock in (caller, upstream, relay.sock):
         sock.close()
     assert received == []
+
+
+def receive_of_idle_entry(stall_seconds: float) -> list[bytes]:
+    """Return what an upstream gets of an opening packet that comes to an idle entry.
+
+    :param stall_seconds: how long the loop stands still before the idle time.
+    """
+    upstream = open_datagram_socket("127.0.0.1", 0)
+    relay = make_relay(bound_address(upstream))
+    caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    received: list[bytes] = []
+
+    def stall() -> None:
+        time.sleep(stall_seconds)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            await relay.start(group)
+            if stall_seconds:
+                relay.note_drained()
+                await anyio.sleep(0.1)
+                stall()
+            await anyio.sleep(ATTEMPT_SECONDS + 0.2)
+            caller.sendto(b"opening", bound_address(relay.sock))
+            await anyio.sleep(0.1)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    with suppress(BlockingIOError):
+        received.append(upstream.recv(100))
+    for sock in (caller, upstream, relay.sock):
+        sock.close()
+    return received
+
+
+def test_the_first_opening_packet_of_an_entry_is_relayed() -> None:
+    """Guards against a fresh packet that counts as old as the socket is."""
+    assert receive_of_idle_entry(0.0) == [b"opening"]
