Show that an old stall makes a fresh opening packet count as late

Callers saw: after a stall of the loop of 0.4 s or more with an empty socket, the next opening packet is dropped, however late it comes.

Cause: note_timer sets stalled_from and only a read socket clears it; an empty one is not read.

--- a/testing/transport/test_token_relay.py
+++ b/testing/transport/test_token_relay.py
@@ -95,3 +95,8 @@
 def test_the_first_opening_packet_of_an_entry_is_relayed() -> None:
     """Guards against a fresh packet that counts as old as the socket is."""
     assert receive_of_idle_entry(0.0) == [b"opening"]
+
+
+def test_the_first_opening_packet_after_a_stall_without_packets_is_relayed() -> None:
+    """Guards against a fresh packet that counts as old as an earlier stall."""
+    assert receive_of_idle_entry(0.7) == [b"opening"]
