Show that a socket that held a whole batch counts as unread

After exactly BATCH datagrams the read loop leaves without BlockingIOError and waits for the next one, which then counts as old as the backlog was.

--- a/testing/transport/test_datagrams.py
+++ b/testing/transport/test_datagrams.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Equals
 
 from chervilstage.transport.datagrams import (
+    BATCH,
     bound_address,
     open_datagram_socket,
     receive_datagrams,
@@ -35,3 +36,24 @@
 
         anyio.run(main)
         self.assertThat(received, Equals([b"first"]))
+
+    def test_a_socket_that_held_a_whole_batch_is_known_to_be_empty(self) -> None:
+        """Guards against the next datagram being taken for one that has waited."""
+        received: list[bytes] = []
+        drained_after: list[int] = []
+
+        async def main() -> None:
+            sock = open_datagram_socket("127.0.0.1", 0)
+            with sock, open_datagram_socket("127.0.0.1", 0) as other:
+                for _ in range(BATCH):
+                    other.sendto(b"data", tuple(bound_address(sock)))
+                with anyio.move_on_after(0.2):
+                    await receive_datagrams(
+                        sock,
+                        lambda data, sender: received.append(data),
+                        lambda: drained_after.append(len(received)),
+                    )
+
+        anyio.run(main)
+        self.assertThat(len(received), Equals(BATCH))
+        self.assertThat(drained_after[-1:], Equals([BATCH]))
