--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -208,6 +208,15 @@
         )
         self.assertThat(later, Not(IsInstance(ResetFlow)))
 
+    def test_later_data_after_the_next_copy_was_due_moves_no_flow(self) -> None:
+        """Guards against a flow that went on elsewhere and is taken for a new one."""
+        self.other.send(40_001, token=self.answer_there.token, sequence=2, size=500)
+        self.first.now += 0.1
+        later = self.first.send(
+            40_001, token=self.answer_here.token, sequence=502, size=100
+        )
+        self.assertThat(getattr(later, "label", None), Not(Equals(1)))
+
 
 class NextRunTests(TestCase):
     """An upstream that has started again under its id and is not heard of yet."""
