Show that a stall of an entry moves a flow opened elsewhere

Cause: the longest time that a packet may have waited is used as if it had waited so long. That is the safe side for opening packets, but not for first packets after them.

--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -217,6 +217,19 @@
         )
         self.assertThat(getattr(later, "label", None), Not(Equals(1)))
 
+    def test_later_data_that_may_have_waited_at_this_entry_moves_no_flow(self) -> None:
+        """Guards against a fresh packet that is taken for an old one after a stall."""
+        self.other.send(40_001, token=self.answer_there.token, sequence=2, size=500)
+        self.first.now += 0.8
+        later = self.first.send(
+            40_001,
+            token=self.answer_here.token,
+            sequence=502,
+            size=100,
+            waited=0.7,
+        )
+        self.assertThat(getattr(later, "label", None), Not(Equals(1)))
+
 
 class NextRunTests(TestCase):
     """An upstream that has started again under its id and is not heard of yet."""
