--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -248,3 +248,14 @@
             relay.now += 0.5
             later = relay.send(40_001, token=opened.token or 0, size=10)
             self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+    def test_a_late_end_of_the_run_before_closes_no_flow_of_a_run_already_known(
+        self,
+    ) -> None:
+        """Guards against a reset by an entry that has just started."""
+        before = make_record(1)
+        relay = RelayDriver(records=[make_record(1, incarnation=2)])
+        relay.hear(before, gone=True)
+        relay.now += 0.5
+        later = relay.send(40_001, token=flow_token(before.identity), size=10)
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
