--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -259,3 +259,13 @@
         relay.now += 0.5
         later = relay.send(40_001, token=flow_token(before.identity), size=10)
         self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+    def test_silence_of_the_next_run_closes_no_flow_that_it_took(self) -> None:
+        """Guards against silence that closes a flow after an earlier end."""
+        relay = RelayDriver(records=[make_record(1)])
+        opened = relay.open(40_001)
+        relay.hear(make_record(1, incarnation=2))
+        relay.now += FORGOTTEN_SECONDS + 1.0
+        forget_old(relay.state, relay.now)
+        later = relay.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
