Show that flows are reset while an upstream repeats its leave call

Callers saw: resets during planned work, of flows whose upstream lives, if the answer to its leave call is lost.

Cause: an end counts 0.3 s after the first call; an upstream without an answer lives on for some seconds. A repeated end proves that it lived, and _note_end (setdefault) and take_departure leave it out.

--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -269,3 +269,20 @@
         forget_old(relay.state, relay.now)
         later = relay.send(40_001, token=opened.token or 0, size=10)
         self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+
+class RepeatedLeaveTests(TestCase):
+    """An upstream whose leave call is answered, but the answer is lost."""
+
+    def test_an_upstream_that_says_again_that_it_ends_keeps_its_flows_till_then(
+        self,
+    ) -> None:
+        """Guards against a reset while an upstream repeats its leave call."""
+        relay = RelayDriver(records=[make_record(1)])
+        opened = relay.open(40_001)
+        relay.hear(make_record(1), gone=True)
+        relay.now += 1.0
+        relay.hear(make_record(1), gone=True)
+        relay.now += 0.1
+        later = relay.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
