--- a/testing/transport/test_token_entry.py
+++ b/testing/transport/test_token_entry.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from random import Random
+
+from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.state.configuration import RoutingDocument
 from chervilstage.state.counters import Counters
+from chervilstage.state.flow_packets import ResetFlow
 from chervilstage.state.types import Address, Peer
 from chervilstage.state.upstream_feed import FeedAnswer, FeedItem
+from chervilstage.transport.clock import replica_clock
 from chervilstage.transport.datagrams import bound_address, open_datagram_socket
 from chervilstage.transport.token_entry import TokenEntry
 from testing.support.token_relays import (
     FRONT,
     SERVICE,
+    make_packet,
     make_record,
     make_routing,
     opening_codec,
@@ -69,3 +75,25 @@
     upstream.close()
     entry.relay.sock.close()
     assert received == b"opening"
+
+
+def test_an_entry_that_only_a_stale_replica_has_told_refuses_no_route() -> None:
+    """Guards against callers refused by the old table of a replica that was cut off."""
+    entry = TokenEntry(
+        own=Peer(name="entry-1", data_centre="", address=Address("10.0.0.1", 1)),
+        relay_address=Address(host="127.0.0.1", port=0),
+        listed=lambda: [REPLICA],
+        decode_routing=lambda document: make_routing(SERVICE),
+        codec=opening_codec(NEW_FRONT),
+        key=b"",
+        counters=Counters(),
+        announcement_seconds=1.2,
+    )
+    item = FeedItem(make_record(1), 0.0, is_gone=False)
+    entry.take(REPLICA, make_answer(1, item)._replace(is_current=False))
+    entry.take_routing(RoutingDocument(version=1, content=b""))
+    caller = Address(host="100.64.0.1", port=40_001)
+    opening = make_packet(caller, front=NEW_FRONT, is_opening=True)
+    decision = relay_packet(entry.state, opening, replica_clock(), Random(1))
+    entry.relay.sock.close()
+    assert not (entry.is_ready() and isinstance(decision, ResetFlow))
