--- a/testing/transport/test_small_disks.py
+++ b/testing/transport/test_small_disks.py
@@ -8,7 +8,12 @@
 
 import anyio
 
-from chervilstage.state.configuration import Change, RoutingDocument
+from chervilstage.state.configuration import (
+    Change,
+    DataCentre,
+    Inventory,
+    RoutingDocument,
+)
 from chervilstage.state.log_entries import ChangeCommand
 from chervilstage.state.replica import Replica
 from testing.support.disk_cell import DiskCell
@@ -52,6 +57,18 @@
     return change._replace(routing=RoutingDocument(version=version, content=content))
 
 
+def make_inventory(number: int) -> Change:
+    """Return a change that puts a large inventory in force, little of it new."""
+    names = ("x" * TABLE_BYTES, f"dc-{number}")
+    inventory = Inventory(data_centres=tuple(DataCentre(name=n) for n in names))
+    return Change(
+        operation_id=f"i{number}",
+        operator="maria",
+        base_revision=None,
+        inventory=inventory,
+    )
+
+
 def held_bytes(replica: Replica) -> int:
     """Return the bytes of the routing tables in the log of a replica."""
     commands = (entry.command for entry in replica.log.entries)
@@ -81,6 +98,23 @@
     assert cell.refused == []
 
 
+def test_hundreds_of_large_inventories_fit_on_the_disk(tmp_path: Path) -> None:
+    """Guards against a log of the product's own changes that fills its own disk."""
+    cell = make_cell(tmp_path)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            await cell.start(group)
+            for number in range(400):
+                if not cell.refused:
+                    await cell.order(make_inventory(number), ACKNOWLEDGED_SECONDS)
+            group.cancel_scope.cancel()
+
+    with refusing(cell.disks):
+        anyio.run(main)
+    assert cell.refused == []
+
+
 def test_hundreds_of_large_changes_leave_the_memory(tmp_path: Path) -> None:
     """Guards against a replica that grows over its limit of memory."""
     cell = make_cell(tmp_path)
