--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -208,6 +208,28 @@
         )
         self.assertThat(later, Not(IsInstance(ResetFlow)))
 
+    def test_later_data_after_the_next_copy_was_due_moves_no_flow(self) -> None:
+        """Guards against a flow that went on elsewhere and is taken for a new one."""
+        self.other.send(40_001, token=self.answer_there.token, sequence=2, size=500)
+        self.first.now += 0.1
+        later = self.first.send(
+            40_001, token=self.answer_here.token, sequence=502, size=100
+        )
+        self.assertThat(getattr(later, "label", None), Not(Equals(1)))
+
+    def test_later_data_that_may_have_waited_at_this_entry_moves_no_flow(self) -> None:
+        """Guards against a fresh packet that is taken for an old one after a stall."""
+        self.other.send(40_001, token=self.answer_there.token, sequence=2, size=500)
+        self.first.now += 0.8
+        later = self.first.send(
+            40_001,
+            token=self.answer_here.token,
+            sequence=502,
+            size=100,
+            waited=0.7,
+        )
+        self.assertThat(getattr(later, "label", None), Not(Equals(1)))
+
 
 class NextRunTests(TestCase):
     """An upstream that has started again under its id and is not heard of yet."""
@@ -226,3 +248,41 @@
             relay.now += 0.5
             later = relay.send(40_001, token=opened.token or 0, size=10)
             self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+    def test_a_late_end_of_the_run_before_closes_no_flow_of_a_run_already_known(
+        self,
+    ) -> None:
+        """Guards against a reset by an entry that has just started."""
+        before = make_record(1)
+        relay = RelayDriver(records=[make_record(1, incarnation=2)])
+        relay.hear(before, gone=True)
+        relay.now += 0.5
+        later = relay.send(40_001, token=flow_token(before.identity), size=10)
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+    def test_silence_of_the_next_run_closes_no_flow_that_it_took(self) -> None:
+        """Guards against silence that closes a flow after an earlier end."""
+        relay = RelayDriver(records=[make_record(1)])
+        opened = relay.open(40_001)
+        relay.hear(make_record(1, incarnation=2))
+        relay.now += FORGOTTEN_SECONDS + 1.0
+        forget_old(relay.state, relay.now)
+        later = relay.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
+
+
+class RepeatedLeaveTests(TestCase):
+    """An upstream whose leave call is answered, but the answer is lost."""
+
+    def test_an_upstream_that_says_again_that_it_ends_keeps_its_flows_till_then(
+        self,
+    ) -> None:
+        """Guards against a reset while an upstream repeats its leave call."""
+        relay = RelayDriver(records=[make_record(1)])
+        opened = relay.open(40_001)
+        relay.hear(make_record(1), gone=True)
+        relay.now += 1.0
+        relay.hear(make_record(1), gone=True)
+        relay.now += 0.1
+        later = relay.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(later, Not(IsInstance(ResetFlow)))
