Take no fresh opening packet for one that waited while an entry was idle

What callers saw: the first opening packet at an idle entry, after its start or after a stall without packets, was dropped as attempt_over; its caller had to repeat it.

Cause: only a socket that had been read to its end ended the doubt about the age of packets, and an empty socket was not read. The same held after exactly one batch of 64 datagrams.

Change: a socket is read before it is waited for. The doubt ends as well once nothing was read from one timer to the next, or as many bytes as the socket can hold, so that an entry that stays busy after a stall does not drop all opening packets.

--- a/src/chervilstage/transport/arrival_bound.py
+++ b/src/chervilstage/transport/arrival_bound.py
@@ -10,30 +10,52 @@
     """Bounds the wait of unread datagrams by when the event loop last ran.
 
     Not every platform tells when a datagram arrived. While the loop runs on time, what
-    it reads has just come. What waited while the loop stood still came after it last
-    ran, and may be as old until the socket has been read to its end.
+    it reads has just come. What waits when the loop has stood still came after it last
+    ran. It is read once the socket has been read to its end, nothing was read from one
+    timer to the next, or as many bytes were read as the socket can hold.
+
+    ``unread_since`` is the earliest time at which what is read next may have come, None
+    if it has just come.
 
     :param now: when the socket was opened, in seconds.
+    :param buffer_bytes: how many bytes the socket can hold.
     """
 
-    def __init__(self, *, now: float) -> None:
+    def __init__(self, *, now: float, buffer_bytes: int) -> None:
+        self.buffer_bytes = buffer_bytes
         self.ran_at = now
-        self.stalled_from: float | None = now
+        self.unread_since: float | None = now
+        self.unread_bytes = buffer_bytes
+        self.has_read = False
 
     def note_timer(self, due: float, now: float) -> None:
         """Take note of when a timer of the loop was due and when it ran."""
-        if self.stalled_from is None and now - due >= STALL_SECONDS:
-            self.stalled_from = self.ran_at
+        if now - due >= STALL_SECONDS:
+            self._note_stall()
+        elif not self.has_read:
+            self.unread_since = None
         self.ran_at = now
+        self.has_read = False
 
     def note_drained(self, now: float) -> None:
         """Take note that no datagram waits any more."""
         self.ran_at = now
-        self.stalled_from = None
-
-    def longest_wait(self, now: float) -> float:
-        """Return the seconds that a datagram which is read now may have waited."""
-        if self.stalled_from is not None:
-            return now - self.stalled_from
-        gap = now - self.ran_at
-        return gap if gap >= STALL_SECONDS else 0.0
+        self.unread_since = None
+
+    def note_read(self, size: int, now: float) -> float:
+        """Take note of a datagram and return the seconds that it may have waited."""
+        self.has_read = True
+        if now - self.ran_at >= STALL_SECONDS:
+            self._note_stall()
+        if self.unread_since is None:
+            return 0.0
+        waited = now - self.unread_since
+        self.unread_bytes -= size
+        if self.unread_bytes <= 0:
+            self.note_drained(now)
+        return waited
+
+    def _note_stall(self) -> None:
+        if self.unread_since is None:
+            self.unread_since = self.ran_at
+            self.unread_bytes = self.buffer_bytes
--- a/src/chervilstage/transport/datagrams.py
+++ b/src/chervilstage/transport/datagrams.py
@@ -47,14 +47,15 @@
     """
     receive = sock.recvfrom
     while sock.fileno() != CLOSED:
-        await anyio.wait_readable(sock)
         try:
             for _ in range(BATCH):
                 data, sender = receive(MAXIMUM_DATAGRAM_BYTES)
                 handler(data, sender)
+            await anyio.lowlevel.checkpoint()
         except BlockingIOError:
             if note_drained is not None:
                 note_drained()
+            await anyio.wait_readable(sock)
         except ConnectionRefusedError:
             # Linux reports an ICMP error of an earlier send on the next receive.
             continue
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -22,7 +22,12 @@
 from .application import Hooks
 from .arrival_bound import ArrivalBound
 from .clock import replica_clock
-from .datagrams import open_datagram_socket, receive_datagrams, send_datagram
+from .datagrams import (
+    RECEIVE_BUFFER_BYTES,
+    open_datagram_socket,
+    receive_datagrams,
+    send_datagram,
+)
 from .relay_log import RelayLog
 
 SWEEP_SECONDS = 1.0
@@ -58,7 +63,7 @@
     """A datagram, when it was read, and how long it may have waited before."""
 
     data: bytes
-    at: float
+    read_at: float
     waited_seconds: float
 
 
@@ -84,26 +89,27 @@
         self.held: deque[ReceivedDatagram] = deque(maxlen=HELD_PACKETS)
         self.received_at = replica_clock()
         self.sock = open_datagram_socket(*address)
-        self.arrivals = ArrivalBound(now=self.received_at)
+        self.arrivals = ArrivalBound(
+            now=self.received_at, buffer_bytes=RECEIVE_BUFFER_BYTES
+        )
 
     def receive(self, data: bytes, sender: tuple[str, int]) -> None:
         """Relay one datagram."""
         now = replica_clock()
         self.received_at = now
+        waited = self.arrivals.note_read(len(data), now)
         try:
             packet = self.codec.decode(data)
         except ChervilstageError as error:
             self.counters.add("packets_refused", error.code)
             self.log.refused(sender, error, now)
             return
-        waited = self.arrivals.longest_wait(now)
-        self.relay(
-            ReceivedDatagram(data=data, at=now, waited_seconds=waited), packet, now
-        )
+        datagram = ReceivedDatagram(data=data, read_at=now, waited_seconds=waited)
+        self.relay(datagram, packet, now)
 
     def relay(self, datagram: ReceivedDatagram, packet: FlowPacket, now: float) -> None:
         """Carry out the decision on a packet, or hold it for what it lacks."""
-        waited = datagram.waited_seconds + now - datagram.at
+        waited = datagram.waited_seconds + now - datagram.read_at
         decision = relay_packet(self.state, packet, now, self.rng, waited)
         if isinstance(decision, Forward):
             out = self.codec.forward(datagram.data, decision.label, decision.token)
@@ -160,7 +166,7 @@
         """
         now = replica_clock()
         for held in [self.held.popleft() for _ in range(len(self.held))]:
-            if now - held.at > HELD_SECONDS:
+            if now - held.read_at > HELD_SECONDS:
                 self.counters.add("packets_dropped", "held_too_long")
             else:
                 packet = self.codec.decode(held.data)
