Open a flow by later data only while its next copy is not due

What callers saw: an upstream that answered a copy of an opening packet, but did not get the flow, got later data of it, and answered with a reset.

Cause: after the next copy was due, any byte of the first window opened a flow, and so did a packet that might have waited at the entry for long. Only the first byte tells then, as the docstring said. The first byte of a packet that an entry read late still opens its flow, since its caller would wait otherwise.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -37,7 +37,7 @@
 # When callers send an opening packet and its copies, and, last, when they give it up.
 ATTEMPT_SECONDS = (0.0, 0.2, 0.6, 1.4)
 LATEST_COPY = 2
-# Callers repeat their first data after 200 ms; a repeated one may have been answered.
+# Just before callers repeat their first data, which another entry may have relayed.
 FIRST_DATA_SECONDS = 0.19
 # An answer to an opening packet takes a few milliseconds; data that is repeated after
 # this time is a sign of silence unless another flow there has been answered.
@@ -77,7 +77,7 @@
     flow = _held_flow(state, key, packet)
     is_found = flow is None
     if flow is None or not flow.is_open:
-        if is_provisional(packet.token) and not _opens(flow, packet, now - waited):
+        if is_provisional(packet.token) and not _opens(flow, packet, now, waited):
             return DropPacket(reason="provisional_token")
         found = _flow_of_token(state, packet, flow, now)
         if not isinstance(found, TokenFlow):
@@ -236,7 +236,9 @@
     return flow
 
 
-def _opens(flow: TokenFlow | None, packet: FlowPacket, arrived_at: float) -> bool:
+def _opens(
+    flow: TokenFlow | None, packet: FlowPacket, now: float, waited: float
+) -> bool:
     """Tell whether a packet is among the first after an opening packet seen here.
 
     Packets overtake each other. Where a copy did not come here, or the next one should
@@ -245,14 +247,12 @@
     """
     if flow is None or flow.opening is None:
         return False
-    patience = FIRST_DATA_SECONDS
-    limit = 1
-    if not flow.lacks_copies:
-        patience += _until_next_copy(flow)
-        limit = WINDOW_BYTES
-    if arrived_at - flow.sent_at > patience:
-        return False
-    return (packet.sequence - flow.opening) % NUMBER_SPACE <= limit
+    certain = 0.0 if flow.lacks_copies else _until_next_copy(flow)
+    offset = (packet.sequence - flow.opening) % NUMBER_SPACE
+    if now - flow.sent_at < certain:
+        return offset <= WINDOW_BYTES
+    is_early = now - waited - flow.sent_at <= certain + FIRST_DATA_SECONDS
+    return is_early and offset <= 1
 
 
 def _note_copy(flow: TokenFlow, copy: int) -> None:
--- a/src/chervilstage/transport/datagrams.py
+++ b/src/chervilstage/transport/datagrams.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import anyio
+import anyio.lowlevel
 
 from ..state.types import Address
 
