Lead the token of an ended run to the next one whichever is heard of first

What callers saw: an entry that heard of a next run before the end of the run before, as a fresh one may, reset the flows that the next run had taken.

Cause: the tokens of earlier runs were computed only when a record was news, not when an end was noted.

--- a/src/chervilstage/coordination/relay_directory.py
+++ b/src/chervilstage/coordination/relay_directory.py
@@ -46,6 +46,7 @@
 ) -> list[UpstreamRecord]:
     """Take records from a control replica and return those that are news here."""
     news = []
+    ended = len(state.ended)
     for item in items:
         record = item.record
         address = record.identity.address
@@ -63,7 +64,7 @@
             news.append(held)
         if known is not None and known.identity != held.identity:
             _note_end(state, known, now)
-    if news:
+    if news or len(state.ended) != ended:
         rebuild(state)
     return news
 
