Close no flow that a silent next run took by the token of the run before

What callers saw: flows that a next run had taken by the token of the run before were reset 90 s after its last announcement, though silence closes no flow.

Cause: the next run was forgotten after 90 s, the end of the run before after 120 s; in between the token stood for an ended upstream again. An end is now forgotten together with the next run of the same label.

--- a/src/chervilstage/coordination/relay_directory.py
+++ b/src/chervilstage/coordination/relay_directory.py
@@ -72,17 +72,18 @@
 def forget_old(state: TokenRelayState, now: float) -> None:
     """Forget upstreams that have been silent for long, and old ends.
 
-    Silence is no proof of an end, so the flows of a forgotten upstream stay open.
+    Silence is no proof of an end, so the flows of a forgotten upstream stay open, those
+    that it took by the token of an earlier run as well.
     """
     registry = state.registry
     old = [a for a, at in registry.heard_at.items() if now - at > FORGOTTEN_SECONDS]
-    for address in old:
-        registry.remove(address, now)
+    forgotten = [registry.remove(address, now) for address in old]
     registry.forget_departed(now - ENDED_TOKEN_SECONDS)
     state.ended = {
         token: ended
         for token, ended in state.ended.items()
         if now - ended.at < ENDED_TOKEN_SECONDS
+        and not any(is_same_target(ended.record, record) for record in forgotten)
     }
     if old:
         rebuild(state)
