Refuse no flow by the table that a replica without a majority told a fresh entry

What callers saw: flows on a route that was just added could be refused or closed by an entry that had started and heard only a replica that was cut off, with an old table.

Cause: the newest version that the entry had been told of counted as the newest one, whoever told it. Until a replica that reaches a majority has told of a version, packets on unknown routes are held and dropped instead.

--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -124,15 +124,16 @@
     """The routes, upstreams and flows of one entry.
 
     ``routing_told`` is the newest version of the routing table that a control replica
-    has told of; it may be on its way still. ``services_of`` holds all services that a
-    route has led to, since a new configuration leaves open flows where they are.
-    ``ended`` holds the upstreams that have ended, by token: it may still be in packets.
-    ``unproven`` holds the sequence above which an upstream of a data centre that is
-    back in service has to announce itself before it counts as warm.
-    ``upstreams_from`` is when the first upstreams became known. ``silences`` holds the
-    data centres that leave packets unanswered. ``entries`` names the live entries.
-    ``open_seconds`` and ``latencies`` count the times to the opening of flows and to
-    the answers of requests.
+    has told of; it may be on its way still. ``has_current_news`` tells that a replica
+    that reaches a majority has told of one since this entry started. ``services_of``
+    holds all services that a route has led to, since a new configuration leaves open
+    flows where they are. ``ended`` holds the upstreams that have ended, by token: it
+    may still be in packets. ``unproven`` holds the sequence above which an upstream of
+    a data centre that is back in service has to announce itself before it counts as
+    warm. ``upstreams_from`` is when the first upstreams became known. ``silences``
+    holds the data centres that leave packets unanswered. ``entries`` names the live
+    entries. ``open_seconds`` and ``latencies`` count the times to the opening of flows
+    and to the answers of requests.
 
     :param name: the name of this entry.
     :param announcement_seconds: how often upstreams announce themselves.
@@ -143,6 +144,7 @@
         self.announcement_seconds = announcement_seconds
         self.routing: Routing | None = None
         self.routing_told = 0
+        self.has_current_news = False
         self.routes: dict[Endpoint, Route] = {}
         self.services_of: dict[Endpoint, frozenset[str]] = {}
         self.out: frozenset[str] = frozenset()
@@ -160,8 +162,13 @@
         self.entries: tuple[str, ...] = (name,)
 
     def has_newest_routing(self) -> bool:
-        """Tell whether no later routing table than the one in force is known of."""
-        return self.routing is not None and self.routing.version >= self.routing_told
+        """Tell whether no later routing table than the one in force is known of.
+
+        A replica that reaches no majority may itself know an old one only.
+        """
+        if self.routing is None or not self.has_current_news:
+            return False
+        return self.routing.version >= self.routing_told
 
     def load_of(self, record: UpstreamRecord) -> UpstreamLoad:
         """Return what has been seen of an upstream, nothing for a new run of it."""
--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -100,6 +100,7 @@
                 put_out(state, answer.out)
             self.settle()
         state.routing_told = max(state.routing_told, answer.routing_version)
+        state.has_current_news |= answer.is_current
         self.fetcher.note(address, answer.routing_version)
         now = replica_clock()
         for record in take_items(state, answer.items, now):
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -132,6 +132,7 @@
         self.now = SETTLED_AT
         self.rng = Random(1)
         put_routing(self.state, make_routing(SERVICE))
+        self.state.has_current_news = True
         self.hear(*records)
         self.state.upstreams_from = 0.0
 
