--- a/src/chervilstage/coordination/relay_directory.py
+++ b/src/chervilstage/coordination/relay_directory.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from ..state.registry import is_leaving, is_same_target
+from ..state.registry import is_leaving, shares_label
 from ..state.routing import Routing, endpoint_of
 from ..state.token_flows import EndedUpstream, TokenRelayState
 from ..state.types import UpstreamRecord
@@ -83,7 +83,7 @@
         token: ended
         for token, ended in state.ended.items()
         if now - ended.at < ENDED_TOKEN_SECONDS
-        and not any(is_same_target(ended.record, record) for record in forgotten)
+        and not any(shares_label(ended.record, record) for record in forgotten)
     }
     if old:
         rebuild(state)
@@ -118,7 +118,7 @@
     found = {}
     for token, ended in state.ended.items():
         current = records.get(ended.record.identity.address)
-        if current is not None and is_same_target(ended.record, current):
+        if current is not None and shares_label(ended.record, current):
             found[token] = current
     return found
 
--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -25,7 +25,7 @@
     ResetFlow,
     is_after,
 )
-from ..state.registry import is_same_target
+from ..state.registry import shares_label
 from ..state.token_flows import TokenFlow, TokenRelayState, UpstreamLoad
 from .flow_tokens import PROVISIONAL, flow_token, is_provisional, provisional_token
 from .placement import choose_service, choose_upstream
@@ -339,7 +339,7 @@
 
 def _has_ended(state: TokenRelayState, flow: TokenFlow, now: float) -> bool:
     current = state.registry.records.get(flow.upstream.identity.address)
-    if current is not None and is_same_target(flow.upstream, current):
+    if current is not None and shares_label(flow.upstream, current):
         return False
     ended = state.ended.get(flow_token(flow.upstream.identity))
     return ended is not None and now - ended.at > ENDING_SECONDS
--- a/src/chervilstage/state/registry.py
+++ b/src/chervilstage/state/registry.py
@@ -222,10 +222,11 @@
     return max(first, second, key=PHASE_ORDER.index)
 
 
-def is_same_target(record: UpstreamRecord, other: UpstreamRecord) -> bool:
-    """Tell whether packets for one run of an upstream are taken by another run.
+def shares_label(record: UpstreamRecord, other: UpstreamRecord) -> bool:
+    """Tell whether two runs have one address, service and label.
 
-    An upstream that starts again under its id has the label of the run before.
+    The later one takes new flows that are meant for the earlier one, as an upstream
+    does that starts again under its id.
     """
     return (record.identity.address, record.identity.service, record.label) == (
         other.identity.address,
