Take an opening packet that waited for one whose copies may have gone elsewhere

What callers saw: a packet of an open flow went to an upstream that does not hold the flow and was answered with a reset, after an entry had stood still for a moment.

Cause: the entry relayed an opening packet that had waited in its socket for longer than the caller waits before the next copy. That copy had opened the flow through another entry. The second upstream answered as well, the caller returned its token, and the entry took the next packet for the first one of the flow, since no copy seemed to be missing.

Change: such an opening packet counts as one whose other copies went elsewhere, so only the first byte opens the flow, as after a missing copy. The new test failed before with a Forward.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -72,7 +72,7 @@
     if packet.is_opening:
         if waited > _patience(packet):
             return DropPacket(reason="attempt_over")
-        return _open_flow(state, packet, now, rng)
+        return _open_flow(state, packet, now, rng, waited)
     key = packet.caller + packet.front
     flow = _held_flow(state, key, packet)
     is_found = flow is None
@@ -102,10 +102,10 @@
     return ATTEMPT_SECONDS[-1] - ATTEMPT_SECONDS[min(packet.copy, LATEST_COPY)]
 
 
-def _until_next_copy(flow: TokenFlow) -> float:
-    """Return the seconds from the latest copy seen here to when one is due again."""
-    latest = min(flow.latest_copy, LATEST_COPY)
-    return ATTEMPT_SECONDS[latest + 1] - ATTEMPT_SECONDS[latest]
+def _until_next_copy(copy: int) -> float:
+    """Return the seconds from a copy of an opening packet to when one is due again."""
+    copy = min(copy, LATEST_COPY)
+    return ATTEMPT_SECONDS[copy + 1] - ATTEMPT_SECONDS[copy]
 
 
 def _held_flow(
@@ -142,7 +142,7 @@
 
 
 def _open_flow(
-    state: TokenRelayState, packet: FlowPacket, now: float, rng: Random
+    state: TokenRelayState, packet: FlowPacket, now: float, rng: Random, waited: float
 ) -> PacketDecision:
     route = state.routes.get(packet.front)
     if route is None:
@@ -168,7 +168,7 @@
     elif now - flow.sent_at >= COPY_SECONDS:
         _try_another(state, key, flow, now, rng)
     flow.sent_at = flow.seen_at = now
-    _note_copy(flow, packet.copy)
+    _note_copy(flow, packet, waited)
     identity = flow.upstream.identity
     return Forward(
         address=identity.address,
@@ -248,16 +248,17 @@
     patience = FIRST_DATA_SECONDS
     limit = 1
     if not flow.lacks_copies:
-        patience += _until_next_copy(flow)
+        patience += _until_next_copy(flow.latest_copy)
         limit = WINDOW_BYTES
     if arrived_at - flow.sent_at > patience:
         return False
     return (packet.sequence - flow.opening) % NUMBER_SPACE <= limit
 
 
-def _note_copy(flow: TokenFlow, copy: int) -> None:
-    """Take note of a copy of an opening packet; an earlier one may be missing."""
-    if copy > flow.latest_copy + 1:
+def _note_copy(flow: TokenFlow, packet: FlowPacket, waited: float) -> None:
+    """Take note of a copy of an opening packet; others may have gone elsewhere."""
+    copy = packet.copy
+    if copy > flow.latest_copy + 1 or waited >= _until_next_copy(copy):
         flow.lacks_copies = True
     flow.latest_copy = max(flow.latest_copy, copy)
 
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -50,6 +50,23 @@
             timely = relay.send(40_001, opening=True, copy=copy, waited=patience - 0.1)
             self.assertThat(timely, IsInstance(Forward))
 
+    def test_an_opening_packet_that_waited_moves_no_flow_opened_by_a_copy(self) -> None:
+        """Guards against a second upstream's token after an entry stood still."""
+        relay = RelayDriver(records=[make_record(1)])
+        late = relay.send(40_001, opening=True, waited=0.7)
+        token = getattr(late, "token", None) or 0
+        relay.now += 0.1
+        later = relay.send(40_001, token=token, sequence=1_000, size=100)
+        self.assertThat(later, Equals(DropPacket(reason="provisional_token")))
+
+    def test_an_opening_packet_that_waited_still_opens_a_flow(self) -> None:
+        """Guards against callers that wait in vain after an entry stood still."""
+        relay = RelayDriver(records=[make_record(1)])
+        late = relay.send(40_001, opening=True, waited=0.7)
+        token = getattr(late, "token", None) or 0
+        first = relay.send(40_001, token=token, sequence=2, size=100)
+        self.assertThat(first, IsInstance(Forward))
+
     def test_a_run_that_is_heard_after_its_end_has_not_ended(self) -> None:
         """Guards against an end that was told wrongly and counts after a silence."""
         relay = RelayDriver(records=[make_record(1)])
