Refuse no flow by an opening packet that waited while its copies went elsewhere

What callers saw: a reset of an open flow on a route that had just been added, or while an entry knew of no upstream.

Cause: the first opening packet waited in the socket of an entry that stood still. A copy opened the flow through another entry, and the first entry then refused the flow by what it knew before the news that waited with the packet. Copies are refused by no entry for this reason; a first packet that waited past the next copy says as little.

The new test failed before with ResetFlow, reason no_route.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -150,7 +150,7 @@
             return DropPacket(reason="no_routing")
         if not state.has_newest_routing():
             return DropPacket(reason="routing_behind")
-        if packet.copy:
+        if not _is_only_copy(packet, waited):
             return DropPacket(reason="no_route_for_copy")
         return ResetFlow(sequence=0, reason="no_route")
     key = packet.caller + packet.front
@@ -159,7 +159,7 @@
         service = choose_service(route, rng)
         record = choose_upstream(state, service, frozenset(), now, rng)
         if record is None:
-            return _refuse(state, packet, now)
+            return _refuse(state, packet, now, waited)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
         flow.highest = flow.opening = packet.sequence
         _take(state, flow, now)
@@ -177,13 +177,14 @@
     )
 
 
-def _refuse(state: TokenRelayState, packet: FlowPacket, now: float) -> PacketDecision:
+def _refuse(
+    state: TokenRelayState, packet: FlowPacket, now: float, waited: float
+) -> PacketDecision:
     """Refuse a flow at once; the caller may then try again elsewhere.
 
     Control replicas that have just started hear of upstreams one after the other.
-    Another entry may have opened the flow of a copy whose first did not come here.
     """
-    if packet.copy:
+    if not _is_only_copy(packet, waited):
         return DropPacket(reason="no_upstream_for_copy")
     known_from = state.upstreams_from
     gathering = GATHERING_ANNOUNCEMENTS * state.announcement_seconds
@@ -255,6 +256,11 @@
     return (packet.sequence - flow.opening) % NUMBER_SPACE <= limit
 
 
+def _is_only_copy(packet: FlowPacket, waited: float) -> bool:
+    """Tell whether no copy of an opening packet can have opened the flow elsewhere."""
+    return packet.copy == 0 and waited < _until_next_copy(0)
+
+
 def _note_copy(flow: TokenFlow, packet: FlowPacket, waited: float) -> None:
     """Take note of a copy of an opening packet; others may have gone elsewhere."""
     copy = packet.copy
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -9,7 +9,7 @@
 from chervilstage.coordination.relay_directory import FORGOTTEN_SECONDS, forget_old
 from chervilstage.state.flow_packets import DropPacket, Forward, ResetFlow
 from chervilstage.state.types import Address
-from testing.support.token_relays import RelayDriver, make_record
+from testing.support.token_relays import FRONT, RelayDriver, make_record
 
 
 class EarlySignsTests(TestCase):
@@ -50,6 +50,15 @@
             timely = relay.send(40_001, opening=True, copy=copy, waited=patience - 0.1)
             self.assertThat(timely, IsInstance(Forward))
 
+    def test_an_opening_packet_that_waited_is_not_refused(self) -> None:
+        """Guards against a reset of a flow that a copy opened while an entry waited."""
+        added = Address(host="198.18.0.9", port=443)
+        unknown_route = RelayDriver(records=[make_record(1)])
+        no_upstream = RelayDriver(records=[])
+        for relay, front in ((unknown_route, added), (no_upstream, FRONT)):
+            late = relay.send(40_001, opening=True, front=front, waited=0.7)
+            self.assertThat(late, IsInstance(DropPacket))
+
     def test_an_opening_packet_that_waited_moves_no_flow_opened_by_a_copy(self) -> None:
         """Guards against a second upstream's token after an entry stood still."""
         relay = RelayDriver(records=[make_record(1)])
