Open a flow by a packet that waited only if it has the first byte

What callers saw: after an entry had stood still for 2.7 s, a packet of an open flow went to an upstream that had only answered the opening packet, and was answered with a reset.

Cause: the wait of a packet that is read late is known as an upper bound. The entry subtracted the bound and took a packet that came 0.7 s after the opening packet for one of the first 0.4 s.

Change: a packet that waited opens a flow only with the first byte after the opening packet. The first data has it and comes before the others in the socket. The new test failed before with a Forward.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -77,7 +77,7 @@
     flow = _held_flow(state, key, packet)
     is_found = flow is None
     if flow is None or not flow.is_open:
-        if is_provisional(packet.token) and not _opens(flow, packet, now - waited):
+        if is_provisional(packet.token) and not _opens(flow, packet, now, waited):
             return DropPacket(reason="provisional_token")
         found = _flow_of_token(state, packet, flow, now)
         if not isinstance(found, TokenFlow):
@@ -237,22 +237,22 @@
     return flow
 
 
-def _opens(flow: TokenFlow | None, packet: FlowPacket, arrived_at: float) -> bool:
+def _opens(
+    flow: TokenFlow | None, packet: FlowPacket, now: float, waited: float
+) -> bool:
     """Tell whether a packet is among the first after an opening packet seen here.
 
-    Packets overtake each other. Where a copy did not come here, or the next one should
-    have come, the flow may have opened elsewhere: only the first byte tells then, and
-    only before the caller could have repeated it.
+    Packets overtake each other. Only the first byte tells where the flow may have
+    opened elsewhere: a copy did not come here, or the packet may have come later.
     """
     if flow is None or flow.opening is None:
         return False
     patience = FIRST_DATA_SECONDS
-    limit = 1
     if not flow.lacks_copies:
         patience += _until_next_copy(flow.latest_copy)
-        limit = WINDOW_BYTES
-    if arrived_at - flow.sent_at > patience:
+    if now - waited - flow.sent_at > patience:
         return False
+    limit = 1 if flow.lacks_copies or waited else WINDOW_BYTES
     return (packet.sequence - flow.opening) % NUMBER_SPACE <= limit
 
 
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -211,6 +211,16 @@
         )
         self.assertThat(late.label, Equals(1))
 
+    def test_a_later_packet_that_waited_moves_no_flow_opened_by_the_second(
+        self,
+    ) -> None:
+        """Guards against taking the longest possible wait of a packet for its wait."""
+        self.first.now += 2.8
+        later = self.first.send(
+            40_001, token=self.answer_here.token, sequence=841, size=100, waited=2.7
+        )
+        self.assertThat(later, Equals(DropPacket(reason="provisional_token")))
+
     def test_an_answer_to_the_second_copy_moves_no_flow_opened_by_the_first(
         self,
     ) -> None:
