Reset no flow on a removed route at an entry that does not hold it

What callers saw: a flow on a route that had been removed and added again was reset by an entry whose control news was late by less than 2 s.

Cause: the entry had heard of the removal only. It took a flow that it did not hold for one that was open before the removal, though another entry had opened it by the later table.

The new test failed before with ResetFlow, reason route_removed.

Change: such packets are dropped. Callers of flows that the configuration has dropped wait for their deadline at other entries.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -215,9 +215,9 @@
     if services is None:
         return DropPacket(reason="unknown_route" if state.routing else "no_routing")
     if packet.front not in state.routes:
-        if not state.has_newest_routing():
-            return DropPacket(reason="routing_behind")
-        return _reset_unheld(packet, "route_removed")
+        # The route may have been added again by a table that is not told of here yet.
+        is_newest = state.has_newest_routing()
+        return DropPacket(reason="route_removed" if is_newest else "routing_behind")
     token = packet.token & ~PROVISIONAL
     record = state.tokens.get(token)
     if record is None:
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -90,6 +90,15 @@
         self.assertThat(later[:3], Equals((77, "route_removed", True)))
         self.assertThat(later.flow.upstream, Equals(make_record(1)))
 
+    def test_a_flow_on_a_route_that_was_added_again_is_not_reset(self) -> None:
+        """Guards against a reset by an entry that knows of the removal only."""
+        opened = RelayDriver(records=[make_record(1)]).open(40_001)
+        late = RelayDriver(records=[make_record(1)], name="entry-2")
+        elsewhere = Address(host="198.18.0.9", port=443)
+        put_routing(late.state, make_routing(SERVICE, version=2, front=elsewhere))
+        later = late.send(40_001, token=opened.token or 0, size=10)
+        self.assertThat(later, Equals(DropPacket(reason="route_removed")))
+
     def test_an_ended_upstream_resets_its_flows_after_a_moment(self) -> None:
         relay = RelayDriver(records=[make_record(1)])
         opened = relay.open(40_001)
