--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -72,7 +72,7 @@
     if packet.is_opening:
         if waited > _patience(packet):
             return DropPacket(reason="attempt_over")
-        return _open_flow(state, packet, now, rng)
+        return _open_flow(state, packet, now, rng, waited)
     key = packet.caller + packet.front
     flow = _held_flow(state, key, packet)
     is_found = flow is None
@@ -102,10 +102,10 @@
     return ATTEMPT_SECONDS[-1] - ATTEMPT_SECONDS[min(packet.copy, LATEST_COPY)]
 
 
-def _until_next_copy(flow: TokenFlow) -> float:
-    """Return the seconds from the latest copy seen here to when one is due again."""
-    latest = min(flow.latest_copy, LATEST_COPY)
-    return ATTEMPT_SECONDS[latest + 1] - ATTEMPT_SECONDS[latest]
+def _until_next_copy(copy: int) -> float:
+    """Return the seconds from a copy of an opening packet to when one is due again."""
+    copy = min(copy, LATEST_COPY)
+    return ATTEMPT_SECONDS[copy + 1] - ATTEMPT_SECONDS[copy]
 
 
 def _held_flow(
@@ -142,7 +142,7 @@
 
 
 def _open_flow(
-    state: TokenRelayState, packet: FlowPacket, now: float, rng: Random
+    state: TokenRelayState, packet: FlowPacket, now: float, rng: Random, waited: float
 ) -> PacketDecision:
     route = state.routes.get(packet.front)
     if route is None:
@@ -150,7 +150,7 @@
             return DropPacket(reason="no_routing")
         if not state.has_newest_routing():
             return DropPacket(reason="routing_behind")
-        if packet.copy:
+        if not _is_only_copy(packet, waited):
             return DropPacket(reason="no_route_for_copy")
         return ResetFlow(sequence=0, reason="no_route")
     key = packet.caller + packet.front
@@ -159,7 +159,7 @@
         service = choose_service(route, rng)
         record = choose_upstream(state, service, frozenset(), now, rng)
         if record is None:
-            return _refuse(state, packet, now)
+            return _refuse(state, packet, now, waited)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
         flow.highest = flow.opening = packet.sequence
         _take(state, flow, now)
@@ -168,7 +168,7 @@
     elif now - flow.sent_at >= COPY_SECONDS:
         _try_another(state, key, flow, now, rng)
     flow.sent_at = flow.seen_at = now
-    _note_copy(flow, packet.copy)
+    _note_copy(flow, packet, waited)
     identity = flow.upstream.identity
     return Forward(
         address=identity.address,
@@ -177,13 +177,14 @@
     )
 
 
-def _refuse(state: TokenRelayState, packet: FlowPacket, now: float) -> PacketDecision:
+def _refuse(
+    state: TokenRelayState, packet: FlowPacket, now: float, waited: float
+) -> PacketDecision:
     """Refuse a flow at once; the caller may then try again elsewhere.
 
     Control replicas that have just started hear of upstreams one after the other.
-    Another entry may have opened the flow of a copy whose first did not come here.
     """
-    if packet.copy:
+    if not _is_only_copy(packet, waited):
         return DropPacket(reason="no_upstream_for_copy")
     known_from = state.upstreams_from
     gathering = GATHERING_ANNOUNCEMENTS * state.announcement_seconds
@@ -214,9 +215,9 @@
     if services is None:
         return DropPacket(reason="unknown_route" if state.routing else "no_routing")
     if packet.front not in state.routes:
-        if not state.has_newest_routing():
-            return DropPacket(reason="routing_behind")
-        return _reset_unheld(packet, "route_removed")
+        # The route may have been added again by a table that is not told of here yet.
+        is_newest = state.has_newest_routing()
+        return DropPacket(reason="route_removed" if is_newest else "routing_behind")
     token = packet.token & ~PROVISIONAL
     record = state.tokens.get(token)
     if record is None:
@@ -241,13 +242,12 @@
 ) -> bool:
     """Tell whether a packet is among the first after an opening packet seen here.
 
-    Packets overtake each other. Where a copy did not come here, or the next one should
-    have come, the flow may have opened elsewhere: only the first byte tells then, and
-    only before the caller could have repeated it.
+    Packets overtake each other. Only the first byte tells where the flow may have
+    opened elsewhere: a copy did not come here, or the packet may have come later.
     """
     if flow is None or flow.opening is None:
         return False
-    certain = 0.0 if flow.lacks_copies else _until_next_copy(flow)
+    certain = 0.0 if flow.lacks_copies else _until_next_copy(flow.latest_copy)
     offset = (packet.sequence - flow.opening) % NUMBER_SPACE
     if now - flow.sent_at < certain:
         return offset <= WINDOW_BYTES
@@ -255,9 +255,15 @@
     return is_early and offset <= 1
 
 
-def _note_copy(flow: TokenFlow, copy: int) -> None:
-    """Take note of a copy of an opening packet; an earlier one may be missing."""
-    if copy > flow.latest_copy + 1:
+def _is_only_copy(packet: FlowPacket, waited: float) -> bool:
+    """Tell whether no copy of an opening packet can have opened the flow elsewhere."""
+    return packet.copy == 0 and waited < _until_next_copy(0)
+
+
+def _note_copy(flow: TokenFlow, packet: FlowPacket, waited: float) -> None:
+    """Take note of a copy of an opening packet; others may have gone elsewhere."""
+    copy = packet.copy
+    if copy > flow.latest_copy + 1 or waited >= _until_next_copy(copy):
         flow.lacks_copies = True
     flow.latest_copy = max(flow.latest_copy, copy)
 
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -9,7 +9,7 @@
 from chervilstage.coordination.relay_directory import FORGOTTEN_SECONDS, forget_old
 from chervilstage.state.flow_packets import DropPacket, Forward, ResetFlow
 from chervilstage.state.types import Address
-from testing.support.token_relays import RelayDriver, make_record
+from testing.support.token_relays import FRONT, RelayDriver, make_record
 
 
 class EarlySignsTests(TestCase):
@@ -50,6 +50,32 @@
             timely = relay.send(40_001, opening=True, copy=copy, waited=patience - 0.1)
             self.assertThat(timely, IsInstance(Forward))
 
+    def test_an_opening_packet_that_waited_is_not_refused(self) -> None:
+        """Guards against a reset of a flow that a copy opened while an entry waited."""
+        added = Address(host="198.18.0.9", port=443)
+        unknown_route = RelayDriver(records=[make_record(1)])
+        no_upstream = RelayDriver(records=[])
+        for relay, front in ((unknown_route, added), (no_upstream, FRONT)):
+            late = relay.send(40_001, opening=True, front=front, waited=0.7)
+            self.assertThat(late, IsInstance(DropPacket))
+
+    def test_an_opening_packet_that_waited_moves_no_flow_opened_by_a_copy(self) -> None:
+        """Guards against a second upstream's token after an entry stood still."""
+        relay = RelayDriver(records=[make_record(1)])
+        late = relay.send(40_001, opening=True, waited=0.7)
+        token = getattr(late, "token", None) or 0
+        relay.now += 0.1
+        later = relay.send(40_001, token=token, sequence=1_000, size=100)
+        self.assertThat(later, Equals(DropPacket(reason="provisional_token")))
+
+    def test_an_opening_packet_that_waited_still_opens_a_flow(self) -> None:
+        """Guards against callers that wait in vain after an entry stood still."""
+        relay = RelayDriver(records=[make_record(1)])
+        late = relay.send(40_001, opening=True, waited=0.7)
+        token = getattr(late, "token", None) or 0
+        first = relay.send(40_001, token=token, sequence=2, size=100)
+        self.assertThat(first, IsInstance(Forward))
+
     def test_a_run_that_is_heard_after_its_end_has_not_ended(self) -> None:
         """Guards against an end that was told wrongly and counts after a silence."""
         relay = RelayDriver(records=[make_record(1)])
@@ -185,6 +211,16 @@
         )
         self.assertThat(late.label, Equals(1))
 
+    def test_a_later_packet_that_waited_moves_no_flow_opened_by_the_second(
+        self,
+    ) -> None:
+        """Guards against taking the longest possible wait of a packet for its wait."""
+        self.first.now += 2.8
+        later = self.first.send(
+            40_001, token=self.answer_here.token, sequence=841, size=100, waited=2.7
+        )
+        self.assertThat(later, Equals(DropPacket(reason="provisional_token")))
+
     def test_an_answer_to_the_second_copy_moves_no_flow_opened_by_the_first(
         self,
     ) -> None:
