--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -23,33 +23,29 @@
     Forward,
     PacketDecision,
     ResetFlow,
-    is_after,
 )
 from ..state.registry import shares_label
-from ..state.token_flows import TokenFlow, TokenRelayState, UpstreamLoad
+from ..state.token_flows import TokenFlow, TokenRelayState
+from .flow_accounting import (
+    account_packet,
+    finish_request,
+    load_of_run,
+    release_upstream,
+    take_upstream,
+)
 from .flow_tokens import PROVISIONAL, flow_token, is_provisional, provisional_token
+from .opening_copies import is_given_up, is_only_copy, note_copy, opens_flow
 from .placement import choose_service, choose_upstream
-from .suspicion import note_answer, note_question, note_silence
+from .suspicion import note_answer, note_silence
 
 # Callers repeat an opening packet after 200 ms; copies that arrive closer together
 # were held up on the way and say nothing of the upstream.
 COPY_SECONDS = 0.12
-# When callers send an opening packet and its copies, and, last, when they give it up.
-ATTEMPT_SECONDS = (0.0, 0.2, 0.6, 1.4)
-LATEST_COPY = 2
-# Just before callers repeat their first data, which another entry may have relayed.
-FIRST_DATA_SECONDS = 0.19
-# An answer to an opening packet takes a few milliseconds; data that is repeated after
-# this time is a sign of silence unless another flow there has been answered.
-STALL_SECONDS = 0.35
 # An upstream that ends may still answer what it has in hand for a moment.
 ENDING_SECONDS = 0.3
-# Callers have at most 16 packets of 1,200 bytes in flight.
-WINDOW_BYTES = 16 * 1200
 # Callers begin flows anywhere in the number space; other entries may have relayed as
 # much of the same flow since its last packet here.
 SAME_FLOW_BYTES = 1 << 20
-LATENCY_WEIGHT = 0.2
 CLOSING_SECONDS = 3.0
 # After this many intervals each upstream has announced itself once.
 GATHERING_ANNOUNCEMENTS = 1.25
@@ -70,14 +66,14 @@
     :param waited: the seconds that the packet may have waited at this entry.
     """
     if packet.is_opening:
-        if waited > _patience(packet):
+        if is_given_up(packet, waited):
             return DropPacket(reason="attempt_over")
         return _open_flow(state, packet, now, rng, waited)
     key = packet.caller + packet.front
     flow = _held_flow(state, key, packet)
     is_found = flow is None
     if flow is None or not flow.is_open:
-        if is_provisional(packet.token) and not _opens(flow, packet, now, waited):
+        if is_provisional(packet.token) and not opens_flow(flow, packet, now, waited):
             return DropPacket(reason="provisional_token")
         found = _flow_of_token(state, packet, flow, now)
         if not isinstance(found, TokenFlow):
@@ -87,7 +83,7 @@
         return _end_flow(state, key, flow, packet, "route_removed")
     if _has_ended(state, flow, now):
         return _end_flow(state, key, flow, packet, "upstream_ended")
-    _account(state, flow, packet, now)
+    account_packet(state, flow, packet, now)
     record = flow.upstream
     return Forward(
         address=record.identity.address,
@@ -97,17 +93,6 @@
     )
 
 
-def _patience(packet: FlowPacket) -> float:
-    """Return the seconds after an opening packet in which its caller waits on."""
-    return ATTEMPT_SECONDS[-1] - ATTEMPT_SECONDS[min(packet.copy, LATEST_COPY)]
-
-
-def _until_next_copy(copy: int) -> float:
-    """Return the seconds from a copy of an opening packet to when one is due again."""
-    copy = min(copy, LATEST_COPY)
-    return ATTEMPT_SECONDS[copy + 1] - ATTEMPT_SECONDS[copy]
-
-
 def _held_flow(
     state: TokenRelayState, key: bytes, packet: FlowPacket
 ) -> TokenFlow | None:
@@ -138,7 +123,7 @@
         if quiet > limit:
             _forget(state, key, flow)
         elif flow.busy_since is not None and now - flow.busy_since > idle_seconds:
-            _finish_request(state, flow)
+            finish_request(state, flow)
 
 
 def _open_flow(
@@ -150,7 +135,7 @@
             return DropPacket(reason="no_routing")
         if not state.has_newest_routing():
             return DropPacket(reason="routing_behind")
-        if not _is_only_copy(packet, waited):
+        if not is_only_copy(packet, waited):
             return DropPacket(reason="no_route_for_copy")
         return ResetFlow(sequence=0, reason="no_route")
     key = packet.caller + packet.front
@@ -162,13 +147,13 @@
             return _refuse(state, packet, now, waited)
         flow = state.flows[key] = TokenFlow(upstream=record, service=service, now=now)
         flow.highest = flow.opening = packet.sequence
-        _take(state, flow, now)
+        take_upstream(state, flow, now)
     elif flow.is_open:
         return DropPacket(reason="late_copy")
     elif now - flow.sent_at >= COPY_SECONDS:
         _try_another(state, key, flow, now, rng)
     flow.sent_at = flow.seen_at = now
-    _note_copy(flow, packet, waited)
+    note_copy(flow, packet, waited)
     identity = flow.upstream.identity
     return Forward(
         address=identity.address,
@@ -184,7 +169,7 @@
 
     Control replicas that have just started hear of upstreams one after the other.
     """
-    if not _is_only_copy(packet, waited):
+    if not is_only_copy(packet, waited):
         return DropPacket(reason="no_upstream_for_copy")
     known_from = state.upstreams_from
     gathering = GATHERING_ANNOUNCEMENTS * state.announcement_seconds
@@ -202,9 +187,9 @@
     record = choose_upstream(state, flow.service, flow.tried, now, rng)
     if record is None:
         return
-    _release(state, flow)
+    release_upstream(state, flow)
     flow.upstream = record
-    _take(state, flow, now)
+    take_upstream(state, flow, now)
 
 
 def _flow_of_token(
@@ -229,7 +214,7 @@
         flow.highest = packet.sequence
         flow.is_open = True
     else:
-        _release(state, flow)
+        release_upstream(state, flow)
         flow.upstream = record
         _open(state, flow, now)
     flow.token = token
@@ -237,37 +222,6 @@
     return flow
 
 
-def _opens(
-    flow: TokenFlow | None, packet: FlowPacket, now: float, waited: float
-) -> bool:
-    """Tell whether a packet is among the first after an opening packet seen here.
-
-    Packets overtake each other. Only the first byte tells where the flow may have
-    opened elsewhere: a copy did not come here, or the packet may have come later.
-    """
-    if flow is None or flow.opening is None:
-        return False
-    certain = 0.0 if flow.lacks_copies else _until_next_copy(flow.latest_copy)
-    offset = (packet.sequence - flow.opening) % NUMBER_SPACE
-    if now - flow.sent_at < certain:
-        return offset <= WINDOW_BYTES
-    is_early = now - waited - flow.sent_at <= certain + FIRST_DATA_SECONDS
-    return is_early and offset <= 1
-
-
-def _is_only_copy(packet: FlowPacket, waited: float) -> bool:
-    """Tell whether no copy of an opening packet can have opened the flow elsewhere."""
-    return packet.copy == 0 and waited < _until_next_copy(0)
-
-
-def _note_copy(flow: TokenFlow, packet: FlowPacket, waited: float) -> None:
-    """Take note of a copy of an opening packet; others may have gone elsewhere."""
-    copy = packet.copy
-    if copy > flow.latest_copy + 1 or waited >= _until_next_copy(copy):
-        flow.lacks_copies = True
-    flow.latest_copy = max(flow.latest_copy, copy)
-
-
 def _relay_to_ended(
     state: TokenRelayState, packet: FlowPacket, services: frozenset[str], now: float
 ) -> PacketDecision:
@@ -292,57 +246,6 @@
     note_answer(state, flow.upstream, now)
 
 
-def _account(
-    state: TokenRelayState, flow: TokenFlow, packet: FlowPacket, now: float
-) -> None:
-    """Follow the requests in flight by the caller's half of the flow."""
-    flow.seen_at = now
-    load = state.load_of(flow.upstream)
-    if flow.busy_since is not None and is_after(
-        packet.acknowledged, flow.answered_up_to
-    ):
-        seconds = now - flow.busy_since
-        state.latencies.observe(seconds)
-        load.latency += (LATENCY_WEIGHT if load.latency else 1.0) * (
-            seconds - load.latency
-        )
-        _finish_request(state, flow)
-        note_answer(state, flow.upstream, now)
-    if packet.size:
-        _account_data(state, flow, packet, load, now)
-    if packet.is_ending or packet.is_reset:
-        flow.is_closing = True
-        _finish_request(state, flow)
-
-
-def _account_data(
-    state: TokenRelayState,
-    flow: TokenFlow,
-    packet: FlowPacket,
-    load: UpstreamLoad,
-    now: float,
-) -> None:
-    """Follow the bytes of a request; those beyond a window prove an upstream alive."""
-    end = (packet.sequence + packet.size) % NUMBER_SPACE
-    if is_after(end, flow.highest):
-        flow.highest = end
-        if flow.busy_since is None:
-            flow.busy_since = now
-            flow.answered_up_to = packet.acknowledged
-            flow.began_at = packet.sequence
-            load.in_flight += 1
-            note_question(state, flow.upstream, now)
-        elif (end - flow.began_at) % NUMBER_SPACE > WINDOW_BYTES:
-            note_answer(state, flow.upstream, now)
-    elif flow.busy_since is not None and _is_stalled(flow, load, now):
-        note_silence(state, flow.upstream, now)
-
-
-def _is_stalled(flow: TokenFlow, load: UpstreamLoad, now: float) -> bool:
-    started = flow.busy_since or now
-    return now - max(started, load.answered_at) > STALL_SECONDS
-
-
 def _has_ended(state: TokenRelayState, flow: TokenFlow, now: float) -> bool:
     current = state.registry.records.get(flow.upstream.identity.address)
     if current is not None and shares_label(flow.upstream, current):
@@ -368,32 +271,8 @@
 def _forget(state: TokenRelayState, key: bytes, flow: TokenFlow) -> None:
     del state.flows[key]
     if flow.busy_since is not None:
-        _load_if_same(state, flow).in_flight -= 1
+        load_of_run(state, flow).in_flight -= 1
     if flow.is_open:
-        _load_if_same(state, flow).flows -= 1
+        load_of_run(state, flow).flows -= 1
     else:
-        _release(state, flow)
-
-
-def _finish_request(state: TokenRelayState, flow: TokenFlow) -> None:
-    if flow.busy_since is not None:
-        flow.busy_since = None
-        _load_if_same(state, flow).in_flight -= 1
-
-
-def _take(state: TokenRelayState, flow: TokenFlow, now: float) -> None:
-    state.load_of(flow.upstream).in_flight += 1
-    note_question(state, flow.upstream, now)
-
-
-def _release(state: TokenRelayState, flow: TokenFlow) -> None:
-    _load_if_same(state, flow).in_flight -= 1
-
-
-def _load_if_same(state: TokenRelayState, flow: TokenFlow) -> UpstreamLoad:
-    """Return the load of the run that a flow belongs to, a spare one if it is over."""
-    address, incarnation, _ = flow.upstream.identity
-    load = state.loads.get(address)
-    if load is None or load.incarnation != incarnation:
-        return UpstreamLoad(incarnation=incarnation)
-    return load
+        release_upstream(state, flow)
