--- a/testing/flow_simulation/paths.py
+++ b/testing/flow_simulation/paths.py
@@ -52,8 +52,8 @@
 class Caller:
     """A caller that opens one flow, and what it has sent and received.
 
-    ``started_at``, ``until`` and ``asked_at`` are in seconds; ``has_route`` tells that
-    the newest table had its route when it started.
+    ``opened_at``, ``until`` and ``asked_at`` are in seconds; ``has_route`` tells that
+    the newest table had its route when its flow opened.
 
     :param take: takes the answers of upstreams.
     """
@@ -81,7 +81,7 @@
         self.asked_at: float | None = None
         self.request_size = 0
         self.is_done = False
-        self.started_at = world.timeline.now
+        self.opened_at = world.timeline.now
         self.has_route = world.routes(front)
 
     def holds_open_flow(self) -> bool:
@@ -94,7 +94,7 @@
 
 def counts_flow(world: World, caller: Caller) -> bool:
     """Tell whether the rule counts a flow: not if a configuration drops its route."""
-    return caller.has_route and world.keeps_route(caller.front, caller.started_at)
+    return caller.has_route and world.keeps_route(caller.front, caller.opened_at)
 
 
 def send(world: World, packet: Packet) -> None:
@@ -194,6 +194,8 @@
         return
     if not is_stray and caller.port in upstream.half:
         upstream.open[caller.port] = upstream.half.pop(caller.port)
+        caller.opened_at = world.timeline.now
+        caller.has_route = world.routes(caller.front)
         world.counts["opened"] += 1
     if caller.port in upstream.open and not is_stray:
         _take_packet(world, upstream, packet, token)
