Close the flows of a removed route only when no later table can be on its way

What callers saw: a route was removed and added again; an entry whose control news was late by up to 2 s closed flows of the added route that it held when it heard of the removal.

Cause: what an entry knows last was taken for what is in force now.

Change: an entry closes flows of a removed route that it holds 3 s after it heard of the removal, unless the route is back.

--- a/bench/tokens.py
+++ b/bench/tokens.py
@@ -40,7 +40,8 @@
 def relay_state(addresses: list[Address], cold_seconds: float = 0.0) -> TokenRelayState:
     """Return the state of an entry that knows upstreams at these addresses."""
     state = TokenRelayState(name="entry-1", announcement_seconds=1.0)
-    put_routing(state, make_routing(SERVICE)._replace(flow_idle_seconds=IDLE_SECONDS))
+    routing = make_routing(SERVICE)._replace(flow_idle_seconds=IDLE_SECONDS)
+    put_routing(state, routing, 0.0)
     records = [
         upstream_of(SERVICE, address)._replace(label=number, cold_seconds=cold_seconds)
         for number, address in enumerate(addresses, start=1)
--- a/src/chervilstage/coordination/relay_directory.py
+++ b/src/chervilstage/coordination/relay_directory.py
@@ -18,10 +18,12 @@
 FORGOTTEN_SECONDS = 90.0
 
 
-def put_routing(state: TokenRelayState, routing: Routing) -> None:
+def put_routing(state: TokenRelayState, routing: Routing, now: float) -> None:
     """Put a version of the routing table in force."""
     state.routing = routing
     state.routes = {endpoint_of(route.address): route for route in routing.routes}
+    removed = state.services_of.keys() - state.routes.keys()
+    state.removed_at = {front: state.removed_at.get(front, now) for front in removed}
     for front, route in state.routes.items():
         services = frozenset(share.service for share in route.shares)
         state.services_of[front] = state.services_of.get(front, frozenset()) | services
--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -41,6 +41,8 @@
 # Callers repeat an opening packet after 200 ms; copies that arrive closer together
 # were held up on the way and say nothing of the upstream.
 COPY_SECONDS = 0.12
+# A later table that has the route again may be on its way to this entry so long.
+REMOVED_ROUTE_SECONDS = 3.0
 # An upstream that ends may still answer what it has in hand for a moment.
 ENDING_SECONDS = 0.3
 # Callers begin flows anywhere in the number space; other entries may have relayed as
@@ -79,7 +81,7 @@
         if not isinstance(found, TokenFlow):
             return found
         flow = state.flows[key] = found
-    elif packet.front not in state.routes and state.has_newest_routing():
+    elif _is_route_gone(state, packet, now):
         return _end_flow(state, key, flow, packet, "route_removed")
     if _has_ended(state, flow, now):
         return _end_flow(state, key, flow, packet, "upstream_ended")
@@ -93,6 +95,14 @@
     )
 
 
+def _is_route_gone(state: TokenRelayState, packet: FlowPacket, now: float) -> bool:
+    """Tell whether a route is gone for good, as far as this entry can know."""
+    removed_at = state.removed_at.get(packet.front)
+    if removed_at is None or not state.has_newest_routing():
+        return False
+    return now - removed_at > REMOVED_ROUTE_SECONDS
+
+
 def _held_flow(
     state: TokenRelayState, key: bytes, packet: FlowPacket
 ) -> TokenFlow | None:
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -127,9 +127,10 @@
     has told of; it may be on its way still. ``has_current_news`` tells that a replica
     that reaches a majority has told of one since this entry started. ``services_of``
     holds all services that a route has led to, since a new configuration leaves open
-    flows where they are. ``ended`` holds the upstreams that have ended, by token: it
-    may still be in packets. ``unproven`` holds the sequence above which an upstream of
-    a data centre that is back in service has to announce itself before it counts as
+    flows where they are. ``removed_at`` tells when those that are not in force any more
+    were removed, in seconds. ``ended`` holds the upstreams that have ended, by token:
+    it may still be in packets. ``unproven`` holds the sequence above which an upstream
+    of a data centre that is back in service has to announce itself before it counts as
     warm. ``upstreams_from`` is when the first upstreams became known. ``silences``
     holds the data centres that leave packets unanswered. ``entries`` names the live
     entries. ``open_seconds`` and ``latencies`` count the times to the opening of flows
@@ -147,6 +148,7 @@
         self.has_current_news = False
         self.routes: dict[Endpoint, Route] = {}
         self.services_of: dict[Endpoint, frozenset[str]] = {}
+        self.removed_at: dict[Endpoint, float] = {}
         self.out: frozenset[str] = frozenset()
         self.registry = UpstreamRegistry()
         self.upstreams_from: float | None = None
--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -127,7 +127,8 @@
     def take_routing(self, document: RoutingDocument) -> None:
         """Put a newer routing table in force."""
         if document.version > self.routing_version():
-            put_routing(self.state, self.decode_routing(document))
+            routing = self.decode_routing(document)
+            put_routing(self.state, routing, replica_clock())
             self.settle()
         if self.relay.held:
             self.relay.release_held()
--- a/testing/flow_simulation/news.py
+++ b/testing/flow_simulation/news.py
@@ -107,7 +107,7 @@
 def _put_newer(driver: RelayDriver, routing: Routing) -> None:
     held = driver.state.routing
     if held is None or held.version < routing.version:
-        put_routing(driver.state, routing)
+        put_routing(driver.state, routing, driver.now)
 
 
 def _hear(driver: RelayDriver, *records: UpstreamRecord, gone: bool = False) -> None:
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -131,7 +131,7 @@
         self.state = TokenRelayState(name=name, announcement_seconds=1.2)
         self.now = SETTLED_AT
         self.rng = Random(1)
-        put_routing(self.state, make_routing(SERVICE))
+        put_routing(self.state, make_routing(SERVICE), self.now)
         self.state.has_current_news = True
         self.hear(*records)
         self.state.upstreams_from = 0.0
