--- /dev/null
+++ b/src/chervilstage/coordination/log_bytes.py
@@ -0,0 +1,31 @@
+"""How many bytes the entries of the log take, by what they carry."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ..state.configuration import Configuration
+from ..state.log_entries import LogEntry
+
+NUMBER_BYTES = 8
+# A string, and the name of a field, is stored in quotes and with a separator.
+QUOTES_BYTES = 4
+
+
+def entry_bytes(entry: LogEntry) -> int:
+    """Return about how many bytes an entry takes in the log."""
+    return _value_bytes(entry)
+
+
+def configuration_bytes(configuration: Configuration) -> int:
+    """Return about how many bytes a configuration takes in a snapshot."""
+    return _value_bytes(configuration)
+
+
+def _value_bytes(value: object) -> int:
+    if isinstance(value, str | bytes):
+        return len(value) + QUOTES_BYTES
+    if not isinstance(value, Iterable):
+        return NUMBER_BYTES
+    names = getattr(value, "_fields", ())
+    return sum(map(_value_bytes, (*names, *value)))
--- a/src/chervilstage/coordination/replica_apply.py
+++ b/src/chervilstage/coordination/replica_apply.py
@@ -6,13 +6,14 @@
 from ..state.log_entries import ChangeCommand, LogEntry, MembersCommand
 from ..state.replica import Replica, Snapshot
 from .configuration import apply_change
+from .log_bytes import configuration_bytes, entry_bytes
 from .replica_effects import ReplicaEffect, Reply, SaveSnapshot
 
 SNAPSHOT_ENTRIES = 512
-# Large routing tables would fill the disk and the memory long before that many entries.
+# Large changes would fill the disk and the memory long before that many entries.
 SNAPSHOT_BYTES = 1024 * 1024
-# A snapshot holds one table; the log grows by a few before the next one is written.
-SNAPSHOT_TABLES = 4
+# A snapshot holds one configuration; the log grows by a few before the next one.
+SNAPSHOT_CONFIGURATIONS = 4
 KEPT_ENTRIES = 128
 
 
@@ -24,6 +25,7 @@
     for entry in replica.log.after(first)[: replica.commit - first]:
         outcome = _apply(replica, entry)
         replica.applied_index = entry.position
+        replica.applied_bytes += entry_bytes(entry)
         if outcome is not None:
             effects.append(Reply(outcome=outcome))
     if _is_snapshot_due(replica):
@@ -45,6 +47,7 @@
         configuration=replica.applied.configuration,
         outcomes=tuple(replica.applied.outcomes.values()),
     )
+    replica.applied_bytes = 0
     replica.log.compact(index - _kept_entries(replica, index))
     return SaveSnapshot(
         snapshot=replica.snapshot, entries=tuple(replica.log.after(index))
@@ -52,36 +55,29 @@
 
 
 def _is_snapshot_due(replica: Replica) -> bool:
-    applied = replica.applied_index - replica.snapshot.position
-    if applied >= SNAPSHOT_ENTRIES:
+    if replica.applied_index - replica.snapshot.position >= SNAPSHOT_ENTRIES:
         return True
-    entries = replica.log.after(replica.snapshot.position)[:applied]
-    return sum(map(_table_bytes, entries)) >= _largest_log(replica)
+    if replica.applied_bytes < SNAPSHOT_BYTES:
+        return False
+    return replica.applied_bytes >= _largest_log_bytes(replica)
 
 
 def _kept_entries(replica: Replica, index: int) -> int:
     """Return how many entries up to an index stay in memory."""
     first = max(replica.log.base_index, index - KEPT_ENTRIES)
     entries = replica.log.after(first)[: index - first]
-    room = _largest_log(replica)
+    room = _largest_log_bytes(replica)
     for kept, entry in enumerate(reversed(entries)):
-        room -= _table_bytes(entry)
+        room -= entry_bytes(entry)
         if room < 0:
             return kept
     return len(entries)
 
 
-def _largest_log(replica: Replica) -> int:
-    """Return the bytes of routing tables that a log may have before a snapshot."""
-    held = replica.applied.configuration.routing
-    return max(SNAPSHOT_BYTES, SNAPSHOT_TABLES * len(held.content) if held else 0)
-
-
-def _table_bytes(entry: LogEntry) -> int:
-    command = entry.command
-    if isinstance(command, ChangeCommand) and command.change.routing is not None:
-        return len(command.change.routing.content)
-    return 0
+def _largest_log_bytes(replica: Replica) -> int:
+    """Return the bytes that a log may have before a snapshot is due."""
+    held = configuration_bytes(replica.applied.configuration)
+    return max(SNAPSHOT_BYTES, SNAPSHOT_CONFIGURATIONS * held)
 
 
 def newest_routing(replica: Replica) -> RoutingDocument | None:
--- a/src/chervilstage/coordination/replication.py
+++ b/src/chervilstage/coordination/replication.py
@@ -95,6 +95,7 @@
         replica.applied.configuration = snapshot.configuration
         replica.applied.outcomes = {o.operation_id: o for o in snapshot.outcomes}
         replica.commit = replica.applied_index = snapshot.position
+        replica.applied_bytes = 0
         replica.persisted = min(replica.persisted, snapshot.position)
         effects.append(SaveSnapshot(snapshot=snapshot, entries=tuple(kept)))
     matched = replica.commit
--- a/src/chervilstage/state/replica.py
+++ b/src/chervilstage/state/replica.py
@@ -67,7 +67,8 @@
 
     ``heard_at`` is when it last heard of a leader, ``election_at`` when it seeks to
     lead, ``heartbeat_at`` when it next sends as the leader and ``led_from`` when it
-    became the leader. ``persisted`` is the highest entry that is durable here.
+    became the leader. ``persisted`` is the highest entry that is durable here, and
+    ``applied_bytes`` the size of the entries applied since the snapshot.
     ``has_heard_leader`` tells whether this run of the replica has heard of a leader;
     ``leaderless`` holds the voters that have said that they have not, ``lost`` the
     identities in whose place a replica with a blank disk has come;
@@ -97,6 +98,7 @@
         self.votes: set[int] = set()
         self.commit = snapshot.position
         self.applied_index = snapshot.position
+        self.applied_bytes = 0
         self.persisted = self.log.last_index
         self.heard_at = now
         self.election_at = election_at
