Do not carry out late calls that take a data centre out or bring it back

Cause: calls to take a data centre out and back carry no order, and each gets an operation id of its own. A process carried out what had waited in its sockets although the caller had closed the connection and another replica had accepted the opposite call meanwhile; so did the leader with a frame that another replica had handed to it before a cut. Evidence: the two tests of test_late_calls.py failed.

A frame of an earlier version has neither and is taken as before. Routing tables (ordered by version) and changes made from a revision are accepted however late.

--- a/src/chervilstage/coordination/replica_terms.py
+++ b/src/chervilstage/coordination/replica_terms.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from random import Random
 
 from ..errors.configuration import NoQuorumError, NotLeaderError
@@ -49,6 +50,8 @@
     :param leader: the identity of its leader, 0 if unknown.
     """
     replica.role = Role.FOLLOWER
+    if leader != replica.leader or term > replica.term:
+        replica.leader_at = -inf
     replica.leader = leader
     replica.votes = set()
     postpone_election(replica, now, rng)
--- a/src/chervilstage/coordination/replication.py
+++ b/src/chervilstage/coordination/replication.py
@@ -46,6 +46,7 @@
     if append.term < replica.term:
         return [_answer(replica, message, False, 0, append.sent_at)]
     effects = follow(replica, append.term, message.sender, now, rng)
+    replica.leader_at = max(replica.leader_at, append.sent_at)
     log = replica.log
     previous = append.previous_index
     if previous >= log.base_index and log.term_at(previous) != append.previous_term:
@@ -80,6 +81,7 @@
     if install.term < replica.term:
         return [_answer(replica, message, False, 0, install.sent_at)]
     effects = follow(replica, install.term, message.sender, now, rng)
+    replica.leader_at = max(replica.leader_at, install.sent_at)
     snapshot = install.snapshot
     if snapshot.position > replica.commit:
         log = replica.log
--- a/src/chervilstage/errors/configuration.py
+++ b/src/chervilstage/errors/configuration.py
@@ -173,3 +173,11 @@
         "still be accepted; send it again under the same operation id"
     )
     retryable = True
+
+
+class CallLateError(ChervilstageError):
+    """A call that depends on its order came after its caller had given it up."""
+
+    code = "CS-CONFIG-022"
+    template = "call not carried out: {reason}"
+    retryable = True
--- a/src/chervilstage/platform/control_calls.py
+++ b/src/chervilstage/platform/control_calls.py
@@ -36,7 +36,7 @@
 JSON_HEADERS = {"content-type": "application/json"}
 EMPTY_OBJECT = b"{}"
 
-Handler = Callable[[str, bytes], Awaitable[bytes]]
+Handler = Callable[[str, HttpRequest], Awaitable[bytes]]
 
 
 class ControlCalls:
@@ -84,7 +84,7 @@
         """Answer a call."""
         try:
             handler, name = self.find(request.method, request.target)
-            body = await handler(name, request.body)
+            body = await handler(name, request)
         except ChervilstageError as error:
             self.counters.add("platform_calls_refused", error.code)
             self.log_budget.log(
@@ -102,11 +102,12 @@
             )
         return HttpResponse(status=STATUS_OK, headers=JSON_HEADERS, body=body)
 
-    async def put_configuration(self, name: str, body: bytes) -> bytes:
+    async def put_configuration(self, name: str, request: HttpRequest) -> bytes:
         """Publish a routing table.
 
         :raises RoutingInvalidError: it is malformed or contradicts itself.
         """
+        body = request.body
         routing = decode_routing(body)
         problems = routing_problems(routing)
         if problems:
@@ -114,21 +115,23 @@
         digest = blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
         change = _make_change(f"routing-{routing.version}-{digest}")
         document = RoutingDocument(version=routing.version, content=body)
-        return await self.submit(change._replace(routing=document))
+        return await self.submit(change._replace(routing=document), request)
 
-    async def get_configuration(self, name: str, body: bytes) -> bytes:
+    async def get_configuration(self, name: str, request: HttpRequest) -> bytes:
         """Return the newest routing table as it was published."""
         return await self.changes.routing()
 
-    async def start_evacuation(self, zone: str, body: bytes) -> bytes:
+    async def start_evacuation(self, zone: str, request: HttpRequest) -> bytes:
         """Take a data centre out of service."""
         taken_out = frozenset({self.known(zone)})
-        return await self.submit(_make_change()._replace(taken_out=taken_out))
+        change = _make_change()._replace(taken_out=taken_out)
+        return await self.submit(change, request)
 
-    async def end_evacuation(self, zone: str, body: bytes) -> bytes:
+    async def end_evacuation(self, zone: str, request: HttpRequest) -> bytes:
         """Bring a data centre back into service."""
         brought_back = frozenset({self.known(zone)})
-        return await self.submit(_make_change()._replace(brought_back=brought_back))
+        change = _make_change()._replace(brought_back=brought_back)
+        return await self.submit(change, request)
 
     def known(self, zone: str) -> str:
         """Return the name of a data centre.
@@ -139,13 +142,14 @@
             raise UnknownDataCentreError(data_centre=zone)
         return zone
 
-    async def submit(self, change: Change) -> bytes:
+    async def submit(self, change: Change, request: HttpRequest) -> bytes:
         """Submit a change, log its outcome and return an empty answer.
 
+        :raises CallLateError: the caller has given up the request.
         :raises OperatorCallError: it was refused, or its outcome is not known.
         """
         started = replica_clock()
-        outcome = await self.changes.submit(change)
+        outcome = await self.changes.submit(change, request.arrival)
         self.durations.observe(replica_clock() - started)
         log_event("change_settled", **outcome._asdict())
         if outcome.code:
@@ -156,14 +160,14 @@
             )
         return EMPTY_OBJECT
 
-    async def heartbeat(self, label: str, body: bytes) -> bytes:
+    async def heartbeat(self, label: str, request: HttpRequest) -> bytes:
         """Take a target's announcement."""
-        await self.feed.announce(decode_heartbeat(label, body))
+        await self.feed.announce(decode_heartbeat(label, request.body))
         return EMPTY_OBJECT
 
-    async def leave(self, label: str, body: bytes) -> bytes:
+    async def leave(self, label: str, request: HttpRequest) -> bytes:
         """Take note that a target has ended."""
-        await self.feed.depart(label_of(label), decode_leave(body))
+        await self.feed.depart(label_of(label), decode_leave(request.body))
         return EMPTY_OBJECT
 
 
--- a/src/chervilstage/state/replica.py
+++ b/src/chervilstage/state/replica.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from enum import StrEnum
+from math import inf
 from typing import NamedTuple
 
 from .applied import AppliedState
@@ -69,6 +70,7 @@
     lead, ``heartbeat_at`` when it next sends as the leader and ``led_from`` when it
     became the leader. ``persisted`` is the highest entry that is durable here, and
     ``applied_bytes`` the size of the entries applied since the snapshot.
+    ``leader_at`` is the newest time of the leader's own clock that it has told.
     ``has_heard_leader`` tells whether this run of the replica has heard of a leader;
     ``leaderless`` holds the voters that have said that they have not, ``lost`` the
     identities in whose place a replica with a blank disk has come;
@@ -95,6 +97,7 @@
         )
         self.role = Role.FOLLOWER
         self.leader = 0
+        self.leader_at = -inf
         self.votes: set[int] = set()
         self.commit = snapshot.position
         self.applied_index = snapshot.position
--- a/src/chervilstage/transport/change_calls.py
+++ b/src/chervilstage/transport/change_calls.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from ..coordination.call_age import check_awaited
 from ..coordination.replica_terms import check_lease
 from ..errors import ChervilstageError
 from ..errors.access import PeerUnreachableError
@@ -19,15 +20,16 @@
     OperatorCallError,
     RoutingMissingError,
 )
-from ..protocol.configuration_records import (
-    change_of,
-    encode_change,
-    encode_outcome,
-    outcome_of,
-)
+from ..protocol.configuration_records import encode_outcome, outcome_of
 from ..protocol.control_messages import OperatorAnswer, decode_answer, encode_answer
+from ..protocol.handed_changes import (
+    HandedChange,
+    decode_handed_change,
+    encode_handed_change,
+)
 from ..protocol.kinds import Kind
 from ..state.configuration import Change, ChangeOutcome
+from .call_arrival import CallArrival
 from .clock import replica_clock
 from .frame_channel import FrameClient, FrameServer
 from .replica_driver import CHANGE_SECONDS, ReplicaDriver
@@ -64,13 +66,28 @@
         frames.serve(Kind.CHANGE, self.relayed_change)
         frames.serve(Kind.ROUTING_READ, self.relayed_read)
 
-    async def submit(self, change: Change) -> ChangeOutcome:
+    async def submit(
+        self, change: Change, arrival: CallArrival | None = None
+    ) -> ChangeOutcome:
         """Submit a change and return its outcome.
 
+        :param arrival: that of the call which asks for the change, if it is not new.
+        :raises CallLateError: the caller no longer waits, and the order matters.
         :raises LeaderUnknownError: no leader answered; the change may be sent again.
         :raises OperatorCallError: the leader refused the call.
         """
-        answer = await self.call(Kind.CHANGE, encode_change(change))
+        waiting = arrival or CallArrival()
+
+        def encode() -> bytes:
+            """Return the change as it is handed over now."""
+            waited = waiting.waited(replica_clock())
+            check_awaited(change, waited, waiting.has_left())
+            leader_at = self.driver.replica.leader_at
+            return encode_handed_change(
+                HandedChange(change=change, leader_at=leader_at, waited_seconds=waited)
+            )
+
+        answer = await self.call(Kind.CHANGE, encode)
         return outcome_of(json.loads(answer))
 
     async def routing(self) -> bytes:
@@ -78,15 +95,18 @@
 
         :raises LeaderUnknownError: no leader answered, or there is no table yet.
         """
-        return await self.call(Kind.ROUTING_READ, b"")
+        return await self.call(Kind.ROUTING_READ, bytes)
+
+    async def call(self, kind: Kind, encode: Callable[[], bytes]) -> bytes:
+        """Have the leader answer a call, waiting a moment while there is none.
 
-    async def call(self, kind: Kind, body: bytes) -> bytes:
-        """Have the leader answer a call, waiting a moment while there is none."""
+        :param encode: returns the body for each attempt.
+        """
         deadline = anyio.current_time() + LEADER_WAIT_SECONDS
-        answer = await self.perform(kind, body)
+        answer = await self.perform(kind, encode())
         while answer.code in LEADERLESS and anyio.current_time() < deadline:
             await anyio.sleep(REPEAT_SECONDS * (0.5 + self.rng.random()))
-            answer = await self.perform(kind, body)
+            answer = await self.perform(kind, encode())
         if answer.status == STATUS_OK:
             return answer.body
         is_retryable = answer.status == STATUS_UNAVAILABLE
@@ -121,7 +141,16 @@
         return decode_answer(answer)
 
     async def relayed_change(self, sender: str, body: bytes) -> bytes:
-        """Answer a change that another replica hands over."""
+        """Answer a change that another replica hands over.
+
+        A frame may be delivered long after it was sent, so its age is that of the
+        newest message of this leader which its sender knew.
+        """
+        handed = decode_handed_change(body)
+        try:
+            check_awaited(handed.change, handed.waited(replica_clock()), False)
+        except ChervilstageError as error:
+            return encode_answer(_refused(error))
         return await self.answer_relayed(Kind.CHANGE, body)
 
     async def relayed_read(self, sender: str, body: bytes) -> bytes:
@@ -137,7 +166,7 @@
 
     async def change(self, body: bytes) -> bytes:
         """Submit a change to this replica."""
-        outcome = await self.driver.submit(change_of(json.loads(body)))
+        outcome = await self.driver.submit(decode_handed_change(body).change)
         return encode_outcome(outcome)
 
     async def read(self, body: bytes) -> bytes:
--- a/src/chervilstage/transport/http_connection.py
+++ b/src/chervilstage/transport/http_connection.py
@@ -14,6 +14,7 @@
     HeaderTooLargeError,
     MalformedRequestError,
 )
+from .call_arrival import CallArrival
 
 READ_BYTES = 65_536
 MAXIMUM_HEADER_BYTES = 32 * 1024
@@ -30,6 +31,7 @@
     target: str
     headers: Mapping[str, str]
     body: bytes
+    arrival: CallArrival = CallArrival()
 
 
 class HttpResponse(NamedTuple):
--- a/src/chervilstage/transport/http_server.py
+++ b/src/chervilstage/transport/http_server.py
@@ -15,6 +15,8 @@
 
 from ..errors import ChervilstageError
 from ..state.types import Address
+from .arrival_bound import ArrivalBound
+from .call_arrival import arrival_of, idle_arrivals, watch_arrivals
 from .event_log import log_event
 from .http_connection import (
     HttpConnection,
@@ -46,31 +48,42 @@
     if tls is not None:
         listener = TLSListener(listener, tls, standard_compatible=False)
 
+    arrivals = idle_arrivals()
+
     async def serve(stream: ByteStream) -> None:
         """Answer the requests of one connection with the handler."""
-        await serve_http(stream, handler)
+        await serve_http(stream, handler, arrivals)
 
+    group.start_soon(watch_arrivals, arrivals)
     group.start_soon(listener.serve, serve)
 
 
-async def serve_http(stream: ByteStream, handler: HttpHandler) -> None:
-    """Answer the requests of one connection."""
+async def serve_http(
+    stream: ByteStream, handler: HttpHandler, arrivals: ArrivalBound | None = None
+) -> None:
+    """Answer the requests of one connection.
+
+    :param arrivals: bounds how long requests may have waited, if stalls are watched.
+    """
     async with stream:
         connection = HttpConnection(stream=stream, role=h11.SERVER)
         with suppress(
             anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError
         ):
-            while await _serve_one(connection, handler):
+            while await _serve_one(connection, handler, arrivals):
                 pass
 
 
-async def _serve_one(connection: HttpConnection, handler: HttpHandler) -> bool:
+async def _serve_one(
+    connection: HttpConnection, handler: HttpHandler, arrivals: ArrivalBound | None
+) -> bool:
     try:
         with anyio.fail_after(IDLE_SECONDS):
             request = await _read_request(connection)
         if request is None:
             return False
-        response = await handler(request)
+        arrival = arrival_of(connection.stream, arrivals)
+        response = await handler(request._replace(arrival=arrival))
     except ChervilstageError as error:
         log_event(
             "request_refused", level=logging.WARNING, code=error.code, reason=error
