--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -20,7 +20,7 @@
 from ..state.token_flows import TokenRelayState
 from ..state.types import Address
 from .application import Hooks
-from .arrival_bound import ArrivalBound
+from .arrival_bound import STALL_SECONDS, ArrivalBound
 from .clock import replica_clock
 from .datagrams import (
     RECEIVE_BUFFER_BYTES,
@@ -175,11 +175,16 @@
     async def watch_lateness(self) -> None:
         """Note how late timers run until cancelled."""
         while True:
-            due = replica_clock() + LATENESS_CHECK_SECONDS
+            started = replica_clock()
+            due = started + LATENESS_CHECK_SECONDS
             await anyio.sleep(LATENESS_CHECK_SECONDS)
             now = replica_clock()
             self.log.lateness.note(due, now)
-            self.arrivals.note_timer(due, now)
+            if now - due < STALL_SECONDS and self.received_at < started:
+                # The loop ran on time and found nothing to read.
+                self.arrivals.note_drained(now)
+            else:
+                self.arrivals.note_timer(due, now)
 
     def note_drained(self) -> None:
         """Take note that no datagram waits in the socket."""
