--- a/testing/flow_simulation/callers.py
+++ b/testing/flow_simulation/callers.py
@@ -8,7 +8,7 @@
 from chervilstage.state.types import Address, UpstreamPhase
 
 from .paths import Answer, Caller, Packet, counts_flow, send
-from .world import Upstream, World
+from .simulation import Simulation, Upstream
 
 COPY_SECONDS = (0.0, 0.2, 0.6)
 ATTEMPT_SECONDS = 1.4
@@ -20,24 +20,28 @@
 ANSWER_BYTES = 400
 
 
-def start_caller(world: World, *, port: int, front: Address, until: float) -> None:
+def start_caller(
+    simulation: Simulation, *, port: int, front: Address, until: float
+) -> None:
     """Send an opening packet and its copies until one is answered.
 
     :param until: when the caller closes its flow, in seconds.
     """
     caller = Caller(
-        world,
+        simulation,
         port=port,
         front=front,
         until=until,
-        take=lambda caller, answer: _take_answer(world, caller, answer),
+        take=lambda caller, answer: _take_answer(simulation, caller, answer),
     )
     for copy, seconds in enumerate(COPY_SECONDS):
-        world.timeline.after(seconds, partial(_send_opening, world, caller, copy))
-    world.timeline.after(ATTEMPT_SECONDS, lambda: _end_attempt(world, caller))
+        simulation.timeline.after(
+            seconds, partial(_send_opening, simulation, caller, copy)
+        )
+    simulation.timeline.after(ATTEMPT_SECONDS, lambda: _end_attempt(simulation, caller))
 
 
-def _send_opening(world: World, caller: Caller, copy: int) -> None:
+def _send_opening(simulation: Simulation, caller: Caller, copy: int) -> None:
     if caller.upstream is not None or caller.is_done:
         return
     packet = Packet(
@@ -49,17 +53,17 @@
         copy=copy,
         is_opening=True,
     )
-    send(world, packet)
+    send(simulation, packet)
 
 
-def _end_attempt(world: World, caller: Caller) -> None:
+def _end_attempt(simulation: Simulation, caller: Caller) -> None:
     if caller.upstream is None and not caller.is_done:
         caller.is_done = True
-        world.counts["attempts_unanswered"] += 1
+        simulation.counts["attempts_unanswered"] += 1
 
 
 def _send_packet(
-    world: World, caller: Caller, *, size: int = 0, is_ending: bool = False
+    simulation: Simulation, caller: Caller, *, size: int = 0, is_ending: bool = False
 ) -> None:
     packet = Packet(
         caller=caller,
@@ -70,68 +74,74 @@
         size=size,
         is_ending=is_ending,
     )
-    send(world, packet)
+    send(simulation, packet)
 
 
-def _take_answer(world: World, caller: Caller, answer: Answer) -> None:
+def _take_answer(simulation: Simulation, caller: Caller, answer: Answer) -> None:
     """Take an answer and its token; the first one to an opening tells the upstream."""
     if caller.is_done:
         return
     caller.token = answer.token
     if answer.request is not None:
-        _go_on(world, caller, answer.upstream, answer.request)
+        _go_on(simulation, caller, answer.upstream, answer.request)
     elif caller.upstream is None:
         caller.upstream = answer.upstream
-        _send_request(world, caller)
+        _send_request(simulation, caller)
 
 
-def _go_on(world: World, caller: Caller, upstream: Upstream, request: Packet) -> None:
+def _go_on(
+    simulation: Simulation, caller: Caller, upstream: Upstream, request: Packet
+) -> None:
     """Send the next request after a pause, unless the flow is over."""
     if caller.asked_at is None or request.sequence != caller.next_byte:
         return
     caller.asked_at = None
     caller.next_byte = (caller.next_byte + request.size) % NUMBER_SPACE
     caller.acknowledged = (caller.acknowledged + ANSWER_BYTES) % NUMBER_SPACE
-    is_over = world.timeline.now > caller.until
+    is_over = simulation.timeline.now > caller.until
     if is_over or upstream.phase is UpstreamPhase.LEAVING:
-        _send_packet(world, caller, is_ending=True)
+        _send_packet(simulation, caller, is_ending=True)
         caller.is_done = True
         return
-    if world.rng.random() < 0.5:
-        _send_packet(world, caller)
-    pause = world.rng.choice(PAUSES)
-    world.timeline.after(pause, lambda: _send_request(world, caller))
+    if simulation.rng.random() < 0.5:
+        _send_packet(simulation, caller)
+    pause = simulation.rng.choice(PAUSES)
+    simulation.timeline.after(pause, lambda: _send_request(simulation, caller))
 
 
-def _send_request(world: World, caller: Caller) -> None:
+def _send_request(simulation: Simulation, caller: Caller) -> None:
     if caller.is_done:
         return
-    caller.asked_at = world.timeline.now
-    caller.request_size = world.rng.randint(*REQUEST_BYTES)
-    _repeat(world, caller, caller.asked_at, FIRST_REPEAT_SECONDS)
+    caller.asked_at = simulation.timeline.now
+    caller.request_size = simulation.rng.randint(*REQUEST_BYTES)
+    _repeat(simulation, caller, caller.asked_at, FIRST_REPEAT_SECONDS)
 
 
-def _repeat(world: World, caller: Caller, asked_at: float, seconds: float) -> None:
+def _repeat(
+    simulation: Simulation, caller: Caller, asked_at: float, seconds: float
+) -> None:
     """Send a request until it is answered or its deadline is over."""
     if caller.is_done or caller.asked_at != asked_at:
         return
-    if world.timeline.now - asked_at > DEADLINE_SECONDS:
-        _give_up(world, caller, asked_at)
+    if simulation.timeline.now - asked_at > DEADLINE_SECONDS:
+        _give_up(simulation, caller, asked_at)
         return
-    _send_packet(world, caller, size=caller.request_size)
+    _send_packet(simulation, caller, size=caller.request_size)
     following = min(2 * seconds, LONGEST_REPEAT_SECONDS)
-    world.timeline.after(seconds, lambda: _repeat(world, caller, asked_at, following))
+    simulation.timeline.after(
+        seconds, lambda: _repeat(simulation, caller, asked_at, following)
+    )
 
 
-def _give_up(world: World, caller: Caller, asked_at: float) -> None:
+def _give_up(simulation: Simulation, caller: Caller, asked_at: float) -> None:
     """Count a flow that waited in vain though its upstream lives."""
     if (
         caller.upstream is not None
         and caller.upstream.is_alive
-        and counts_flow(world, caller)
+        and counts_flow(simulation, caller)
     ):
         is_open = caller.holds_open_flow()
         kind = "open" if is_open else "opening"
-        news = "late" if world.news_late_at > asked_at else "in_time"
-        world.counts[f"given_up_{kind}_news_{news}"] += 1
+        news = "late" if simulation.news_late_at > asked_at else "in_time"
+        simulation.counts[f"given_up_{kind}_news_{news}"] += 1
     caller.is_done = True
--- a/testing/flow_simulation/news.py
+++ b/testing/flow_simulation/news.py
@@ -11,30 +11,30 @@
 from chervilstage.transport.token_relay import HELD_SECONDS
 from testing.support.token_relays import RelayDriver
 
-from .world import Entry, Upstream, World
+from .simulation import Entry, Simulation, Upstream
 
 NEWS_SECONDS = 0.05
 FETCH_SECONDS = 0.3
 MISSES = 2
 
 
-def start_entry(world: World, entry: Entry) -> None:
+def start_entry(simulation: Simulation, entry: Entry) -> None:
     """Start an entry that knows nothing, and tell it what the replicas know."""
     driver = RelayDriver(records=[], name=f"entry-{entry.number}")
-    driver.rng = Random(world.rng.getrandbits(32))
+    driver.rng = Random(simulation.rng.getrandbits(32))
     driver.state.routing = None
     driver.state.routes = {}
     driver.state.services_of = {}
     driver.state.upstreams_from = None
     entry.driver = driver
     entry.held = []
-    tell_routing(world, entry)
+    tell_routing(simulation, entry)
     within = max(NEWS_SECONDS, entry.lateness)
-    tell(world, entry, lambda d: _hear(d, *world.announced.values()), within)
+    tell(simulation, entry, lambda d: _hear(d, *simulation.announced.values()), within)
 
 
 def tell(
-    world: World,
+    simulation: Simulation,
     entry: Entry,
     take: Callable[[RelayDriver], None],
     within: float = NEWS_SECONDS,
@@ -44,7 +44,7 @@
     :param within: the longest time in seconds that it takes.
     """
     driver = entry.driver
-    timeline = world.timeline
+    timeline = simulation.timeline
 
     def arrive() -> None:
         if entry.driver is not driver or driver is None:
@@ -54,54 +54,56 @@
             return
         driver.now = timeline.now
         take(driver)
-        release_held(world, entry)
+        release_held(simulation, entry)
 
-    delay = world.rng.random() * within
+    delay = simulation.rng.random() * within
     if delay > FETCH_SECONDS:
-        world.news_late_at = max(world.news_late_at, timeline.now + delay)
+        simulation.news_late_at = max(simulation.news_late_at, timeline.now + delay)
     timeline.after(delay, arrive)
 
 
-def release_held(world: World, entry: Entry) -> None:
+def release_held(simulation: Simulation, entry: Entry) -> None:
     """Relay the packets that waited for news, but those that waited too long."""
     held, entry.held = entry.held, []
     for packet in held:
-        if world.timeline.now - packet.at <= HELD_SECONDS:
+        if simulation.timeline.now - packet.at <= HELD_SECONDS:
             packet.relay()
 
 
-def tell_record(world: World, upstream: Upstream, *, gone: bool = False) -> None:
+def tell_record(
+    simulation: Simulation, upstream: Upstream, *, gone: bool = False
+) -> None:
     """Tell every entry what an upstream has said of itself."""
     record = upstream.record()
     if gone:
-        world.announced.pop(upstream.number, None)
+        simulation.announced.pop(upstream.number, None)
     else:
-        world.announced[upstream.number] = record
-    for entry in world.entries:
+        simulation.announced[upstream.number] = record
+    for entry in simulation.entries:
         within = max(NEWS_SECONDS, entry.lateness)
-        tell(world, entry, lambda d: _hear(d, record, gone=gone), within)
+        tell(simulation, entry, lambda d: _hear(d, record, gone=gone), within)
 
 
-def tell_routing(world: World, entry: Entry) -> None:
+def tell_routing(simulation: Simulation, entry: Entry) -> None:
     """Tell an entry of the newest routing table, which it fetches after that."""
-    routing = world.routing
+    routing = simulation.routing
 
     def fetch(driver: RelayDriver) -> None:
         state = driver.state
         state.routing_told = max(state.routing_told, routing.version)
-        tell(world, entry, lambda d: _put_newer(d, routing), FETCH_SECONDS)
+        tell(simulation, entry, lambda d: _put_newer(d, routing), FETCH_SECONDS)
 
-    tell(world, entry, fetch, max(NEWS_SECONDS, entry.lateness))
+    tell(simulation, entry, fetch, max(NEWS_SECONDS, entry.lateness))
 
 
-def check_entries(world: World) -> None:
+def check_entries(simulation: Simulation) -> None:
     """Put entries in or out of rotation as the fabric does."""
-    for entry in world.entries:
-        is_ready = entry.is_ready(world.timeline.now)
+    for entry in simulation.entries:
+        is_ready = entry.is_ready(simulation.timeline.now)
         entry.misses = 0 if is_ready else entry.misses + 1
-    ready = [entry for entry in world.entries if entry.misses < MISSES]
-    is_half = 2 * len(ready) >= len(world.entries)
-    world.rotation = ready if is_half else list(world.entries)
+    ready = [entry for entry in simulation.entries if entry.misses < MISSES]
+    is_half = 2 * len(ready) >= len(simulation.entries)
+    simulation.rotation = ready if is_half else list(simulation.entries)
 
 
 def _put_newer(driver: RelayDriver, routing: Routing) -> None:
--- a/testing/flow_simulation/paths.py
+++ b/testing/flow_simulation/paths.py
@@ -15,7 +15,7 @@
 from chervilstage.transport.token_relay import HELD_REASONS
 from testing.support.token_relays import RelayDriver
 
-from .world import Entry, FindingKind, HeldPacket, Upstream, World
+from .simulation import Entry, FindingKind, HeldPacket, Simulation, Upstream
 
 PATH_SECONDS = 0.001
 LATE_SECONDS = 0.8
@@ -60,14 +60,14 @@
 
     def __init__(
         self,
-        world: World,
+        simulation: Simulation,
         *,
         port: int,
         front: Address,
         until: float,
         take: Callable[[Caller, Answer], None],
     ) -> None:
-        rng = world.rng
+        rng = simulation.rng
         self.port = port
         self.front = front
         self.until = until
@@ -81,8 +81,8 @@
         self.asked_at: float | None = None
         self.request_size = 0
         self.is_done = False
-        self.opened_at = world.timeline.now
-        self.has_route = world.routes(front)
+        self.opened_at = simulation.timeline.now
+        self.has_route = simulation.routes(front)
 
     def holds_open_flow(self) -> bool:
         """Tell whether its flow is open at an upstream that lives."""
@@ -92,44 +92,48 @@
         return self.port in upstream.open
 
 
-def counts_flow(world: World, caller: Caller) -> bool:
+def counts_flow(simulation: Simulation, caller: Caller) -> bool:
     """Tell whether the rule counts a flow: not if a configuration drops its route."""
-    return caller.has_route and world.keeps_route(caller.front, caller.opened_at)
+    return caller.has_route and simulation.keeps_route(caller.front, caller.opened_at)
 
 
-def send(world: World, packet: Packet) -> None:
+def send(simulation: Simulation, packet: Packet) -> None:
     """Send a packet through the entry that the fabric selects now."""
-    rng, conditions = world.rng, world.conditions
-    entry = world.rotation[packet.caller.hash % len(world.rotation)]
+    rng, conditions = simulation.rng, simulation.conditions
+    entry = simulation.rotation[packet.caller.hash % len(simulation.rotation)]
     seconds = PATH_SECONDS
     if rng.random() < conditions.delayed:
         seconds += rng.random() * LATE_SECONDS
     if rng.random() < conditions.reordered:
         seconds += rng.random() * REORDER_SECONDS
-    world.timeline.after(seconds, lambda: _reach_entry(world, entry, packet))
+    simulation.timeline.after(seconds, lambda: _reach_entry(simulation, entry, packet))
 
 
-def _reach_entry(world: World, entry: Entry, packet: Packet) -> None:
+def _reach_entry(simulation: Simulation, entry: Entry, packet: Packet) -> None:
     """Relay a packet, or let it wait while the entry stands still."""
-    now, driver = world.timeline.now, entry.driver
+    now, driver = simulation.timeline.now, entry.driver
     if driver is None:
         return
     if now >= entry.still_until:
-        _relay(world, entry, driver, packet, 0.0)
+        _relay(simulation, entry, driver, packet, 0.0)
         return
     since = entry.still_since
 
     def resume() -> None:
         if entry.driver is driver:
-            _relay(world, entry, driver, packet, world.timeline.now - since)
+            _relay(simulation, entry, driver, packet, simulation.timeline.now - since)
 
-    world.timeline.after(entry.still_until - now, resume)
+    simulation.timeline.after(entry.still_until - now, resume)
 
 
 def _relay(
-    world: World, entry: Entry, driver: RelayDriver, packet: Packet, waited: float
+    simulation: Simulation,
+    entry: Entry,
+    driver: RelayDriver,
+    packet: Packet,
+    waited: float,
 ) -> None:
-    driver.now = world.timeline.now
+    driver.now = simulation.timeline.now
     caller = packet.caller
     decision = driver.send(
         caller.port,
@@ -143,77 +147,85 @@
         copy=packet.copy,
         waited=waited,
     )
-    after = world.timeline.after
+    after = simulation.timeline.after
     if isinstance(decision, ResetFlow):
         reason = decision.reason
-        after(PATH_SECONDS, lambda: _take_reset(world, entry, caller, reason))
+        after(PATH_SECONDS, lambda: _take_reset(simulation, entry, caller, reason))
     elif isinstance(decision, DropPacket) and decision.reason in HELD_REASONS:
-        _hold(world, entry, driver, packet, waited)
+        _hold(simulation, entry, driver, packet, waited)
     elif isinstance(decision, DropPacket):
-        world.counts[f"dropped_{decision.reason}"] += 1
+        simulation.counts[f"dropped_{decision.reason}"] += 1
     else:
-        after(PATH_SECONDS, lambda: _reach_upstream(world, entry, packet, decision))
+        after(
+            PATH_SECONDS, lambda: _reach_upstream(simulation, entry, packet, decision)
+        )
 
 
 def _hold(
-    world: World, entry: Entry, driver: RelayDriver, packet: Packet, waited: float
+    simulation: Simulation,
+    entry: Entry,
+    driver: RelayDriver,
+    packet: Packet,
+    waited: float,
 ) -> None:
-    at = world.timeline.now
+    at = simulation.timeline.now
 
     def relay() -> None:
-        longer = waited + world.timeline.now - at
-        _relay(world, entry, driver, packet, longer)
+        longer = waited + simulation.timeline.now - at
+        _relay(simulation, entry, driver, packet, longer)
 
     entry.held.append(HeldPacket(at=at, relay=relay))
 
 
-def _take_reset(world: World, entry: Entry, caller: Caller, reason: str) -> None:
-    if caller.holds_open_flow() and counts_flow(world, caller):
-        world.find(FindingKind.RESET, reason, entry, caller.port)
+def _take_reset(
+    simulation: Simulation, entry: Entry, caller: Caller, reason: str
+) -> None:
+    if caller.holds_open_flow() and counts_flow(simulation, caller):
+        simulation.find(FindingKind.RESET, reason, entry, caller.port)
     caller.is_done = True
 
 
 def _reach_upstream(
-    world: World, entry: Entry, packet: Packet, decision: Forward
+    simulation: Simulation, entry: Entry, packet: Packet, decision: Forward
 ) -> None:
     """Take a packet as the run at the address does; others than the named ignore it."""
     caller = packet.caller
-    upstream = _run_at(world, decision.address)
+    upstream = _run_at(simulation, decision.address)
     if not upstream.is_alive:
         return
     token = packet.token if decision.token is None else decision.token
     if packet.is_opening:
         if upstream.label == decision.label:
-            _answer_opening(world, upstream, caller, token)
+            _answer_opening(simulation, upstream, caller, token)
         return
     is_stray = upstream is not caller.upstream
-    if is_stray and caller.holds_open_flow() and counts_flow(world, caller):
+    if is_stray and caller.holds_open_flow() and counts_flow(simulation, caller):
         kind = "half open" if caller.port in upstream.half else "unknown"
-        world.find(FindingKind.STRAYED, kind, entry, caller.port)
+        simulation.find(FindingKind.STRAYED, kind, entry, caller.port)
     if upstream.label != decision.label:
         return
     if not is_stray and caller.port in upstream.half:
         upstream.open[caller.port] = upstream.half.pop(caller.port)
-        caller.opened_at = world.timeline.now
-        caller.has_route = world.routes(caller.front)
-        world.counts["opened"] += 1
+        caller.opened_at = simulation.timeline.now
+        caller.has_route = simulation.routes(caller.front)
+        simulation.counts["opened"] += 1
     if caller.port in upstream.open and not is_stray:
-        _take_packet(world, upstream, packet, token)
+        _take_packet(simulation, upstream, packet, token)
     elif not packet.is_ending:
         upstream.half.pop(caller.port, None)
         caller.is_done = True
 
 
-def _run_at(world: World, address: Address) -> Upstream:
+def _run_at(simulation: Simulation, address: Address) -> Upstream:
     return next(
         upstream
-        for upstream in world.upstreams.values()
+        for upstream in simulation.upstreams.values()
         if upstream.record().identity.address == address
     )
 
 
 def _answer_opening(
-    world: World, upstream: Upstream, caller: Caller, token: int
+    simulation: Simulation, upstream: Upstream, caller: Caller, token: int
 ) -> None:
     """Answer an opening packet until the flow opens here."""
     port = caller.port
@@ -221,8 +233,8 @@
         return
     upstream.half[port] = token
     seconds = OPENING_ANSWER_SECONDS
-    if world.rng.random() < world.conditions.slow:
-        seconds = world.rng.uniform(*SLOW_ANSWER_SECONDS)
+    if simulation.rng.random() < simulation.conditions.slow:
+        seconds = simulation.rng.uniform(*SLOW_ANSWER_SECONDS)
 
     def repeat() -> None:
         if upstream.is_alive and port in upstream.half:
@@ -230,16 +242,20 @@
             caller.take(caller, answer)
 
     for later in ANSWER_SECONDS:
-        world.timeline.after(seconds + later, repeat)
+        simulation.timeline.after(seconds + later, repeat)
 
 
-def _take_packet(world: World, upstream: Upstream, packet: Packet, token: int) -> None:
+def _take_packet(
+    simulation: Simulation, upstream: Upstream, packet: Packet, token: int
+) -> None:
     caller = packet.caller
     upstream.open[caller.port] = token
     if packet.is_ending:
         del upstream.open[caller.port]
     elif packet.size:
-        world.timeline.after(SERVICE_SECONDS, lambda: _answer_request(upstream, packet))
+        simulation.timeline.after(
+            SERVICE_SECONDS, lambda: _answer_request(upstream, packet)
+        )
 
 
 def _answer_request(upstream: Upstream, packet: Packet) -> None:
--- a/testing/flow_simulation/play.py
+++ b/testing/flow_simulation/play.py
@@ -20,7 +20,15 @@
     tell_record,
     tell_routing,
 )
-from .world import FRONTS, Conditions, Entry, Finding, Upstream, World, make_table
+from .simulation import (
+    FRONTS,
+    Conditions,
+    Entry,
+    Finding,
+    Simulation,
+    Upstream,
+    make_table,
+)
 
 CALLERS = 250
 FIRST_PORT = 40_000
@@ -63,28 +71,28 @@
     )
 
 
-def play(seed: int, conditions: Conditions | None = None) -> World:
+def play(seed: int, conditions: Conditions | None = None) -> Simulation:
     """Play a seed, under conditions drawn from it if none are given."""
-    world = World(seed=seed, conditions=conditions or draw_conditions(seed))
-    rng, after = world.rng, world.timeline.after
-    for upstream in world.upstreams.values():
-        world.announced[upstream.number] = upstream.record()
+    simulation = Simulation(seed=seed, conditions=conditions or draw_conditions(seed))
+    rng, after = simulation.rng, simulation.timeline.after
+    for upstream in simulation.upstreams.values():
+        simulation.announced[upstream.number] = upstream.record()
         seconds = rng.random() * ANNOUNCEMENT_SECONDS
-        after(seconds, partial(_announce, world, upstream))
-    for entry in world.entries:
-        start_entry(world, entry)
+        after(seconds, partial(_announce, simulation, upstream))
+    for entry in simulation.entries:
+        start_entry(simulation, entry)
     for number in range(CALLERS):
         port = FIRST_PORT + number
-        after(1.0 + rng.random() * BUSY_SECONDS, partial(_call, world, port))
+        after(1.0 + rng.random() * BUSY_SECONDS, partial(_call, simulation, port))
     for _ in range(REPLACEMENTS):
-        after(rng.random() * BUSY_SECONDS, lambda: _replace(world))
+        after(rng.random() * BUSY_SECONDS, lambda: _replace(simulation))
     for _ in range(ROUTE_CHANGES):
-        after(rng.random() * BUSY_SECONDS, lambda: _remove_route(world))
-    after(1.0, lambda: _disturb(world))
-    after(CHECK_SECONDS, lambda: _check(world))
-    after(SWEEP_SECONDS, lambda: _sweep(world))
-    world.timeline.play(PLAY_SECONDS)
-    return world
+        after(rng.random() * BUSY_SECONDS, lambda: _remove_route(simulation))
+    after(1.0, lambda: _disturb(simulation))
+    after(CHECK_SECONDS, lambda: _check(simulation))
+    after(SWEEP_SECONDS, lambda: _sweep(simulation))
+    simulation.timeline.play(PLAY_SECONDS)
+    return simulation
 
 
 def play_all(seeds: Iterable[int]) -> PlayResult:
@@ -93,10 +101,10 @@
     findings: list[Finding] = []
     counts: Counter[str] = Counter()
     for seed in seeds:
-        world = play(seed)
+        simulation = play(seed)
         plays += 1
-        findings += world.findings
-        counts += world.counts
+        findings += simulation.findings
+        counts += simulation.counts
     return PlayResult(plays=plays, findings=tuple(findings), counts=counts)
 
 
@@ -112,139 +120,146 @@
     )
 
 
-def _announce(world: World, upstream: Upstream) -> None:
+def _announce(simulation: Simulation, upstream: Upstream) -> None:
     if not upstream.is_alive:
         return
     upstream.sequence += 1
-    tell_record(world, upstream)
-    world.timeline.after(ANNOUNCEMENT_SECONDS, lambda: _announce(world, upstream))
+    tell_record(simulation, upstream)
+    simulation.timeline.after(
+        ANNOUNCEMENT_SECONDS, lambda: _announce(simulation, upstream)
+    )
 
 
-def _call(world: World, port: int) -> None:
-    until = world.timeline.now + world.rng.random() * FLOW_SECONDS
-    front = world.rng.choice(FRONTS)
-    start_caller(world, port=port, front=front, until=until)
+def _call(simulation: Simulation, port: int) -> None:
+    until = simulation.timeline.now + simulation.rng.random() * FLOW_SECONDS
+    front = simulation.rng.choice(FRONTS)
+    start_caller(simulation, port=port, front=front, until=until)
 
 
-def _replace(world: World) -> None:
+def _replace(simulation: Simulation) -> None:
     """Drain and end an upstream, or crash it; another run follows at its address."""
     ready = [
         upstream
-        for upstream in world.upstreams.values()
+        for upstream in simulation.upstreams.values()
         if upstream.is_alive and upstream.phase is UpstreamPhase.READY
     ]
     if len(ready) < 3:
         return
-    upstream = world.rng.choice(ready)
-    after = world.timeline.after
-    if world.rng.random() < 0.3:
+    upstream = simulation.rng.choice(ready)
+    after = simulation.timeline.after
+    if simulation.rng.random() < 0.3:
         upstream.is_alive = False
-        after(world.rng.uniform(*RESTART_SECONDS), lambda: _restart(world, upstream))
+        after(
+            simulation.rng.uniform(*RESTART_SECONDS),
+            lambda: _restart(simulation, upstream),
+        )
         return
     upstream.phase = UpstreamPhase.LEAVING
     upstream.sequence += 1
-    tell_record(world, upstream)
-    after(world.rng.uniform(*DRAIN_SECONDS), lambda: _leave(world, upstream))
+    tell_record(simulation, upstream)
+    after(simulation.rng.uniform(*DRAIN_SECONDS), lambda: _leave(simulation, upstream))
 
 
-def _leave(world: World, upstream: Upstream) -> None:
+def _leave(simulation: Simulation, upstream: Upstream) -> None:
     upstream.is_alive = False
-    tell_record(world, upstream, gone=True)
-    seconds = world.rng.uniform(*RESTART_SECONDS)
-    world.timeline.after(seconds, lambda: _restart(world, upstream))
+    tell_record(simulation, upstream, gone=True)
+    seconds = simulation.rng.uniform(*RESTART_SECONDS)
+    simulation.timeline.after(seconds, lambda: _restart(simulation, upstream))
 
 
-def _restart(world: World, before: Upstream) -> None:
+def _restart(simulation: Simulation, before: Upstream) -> None:
     """Start a run at the address, most often under the label of the run before."""
-    is_same_label = world.rng.random() < 0.6
+    is_same_label = simulation.rng.random() < 0.6
     upstream = Upstream(
         number=before.number,
         label=before.label if is_same_label else before.label + 100,
         incarnation=before.incarnation + 1000,
     )
-    world.upstreams[before.number] = upstream
-    seconds = world.rng.random() * CHECK_SECONDS
-    world.timeline.after(seconds, lambda: _announce(world, upstream))
+    simulation.upstreams[before.number] = upstream
+    seconds = simulation.rng.random() * CHECK_SECONDS
+    simulation.timeline.after(seconds, lambda: _announce(simulation, upstream))
 
 
-def _remove_route(world: World) -> None:
+def _remove_route(simulation: Simulation) -> None:
     """Remove the second route; its flows do not count any more."""
     front = FRONTS[1]
-    if not world.routes(front):
+    if not simulation.routes(front):
         return
-    _put_table(world, with_second=False)
-    world.removed_at[front] = world.timeline.now
-    gap = world.conditions.route_gap_seconds * world.rng.uniform(1.0, 1.5)
-    world.timeline.after(gap, lambda: _put_table(world, with_second=True))
+    _put_table(simulation, with_second=False)
+    simulation.removed_at[front] = simulation.timeline.now
+    gap = simulation.conditions.route_gap_seconds * simulation.rng.uniform(1.0, 1.5)
+    simulation.timeline.after(gap, lambda: _put_table(simulation, with_second=True))
 
 
-def _put_table(world: World, *, with_second: bool) -> None:
+def _put_table(simulation: Simulation, *, with_second: bool) -> None:
     fronts = FRONTS if with_second else FRONTS[:1]
-    world.routing = make_table(world.routing.version + 1, fronts)
-    for entry in world.entries:
-        tell_routing(world, entry)
+    simulation.routing = make_table(simulation.routing.version + 1, fronts)
+    for entry in simulation.entries:
+        tell_routing(simulation, entry)
 
 
-def _disturb(world: World) -> None:
+def _disturb(simulation: Simulation) -> None:
     """Do something to one entry, and again after a while."""
-    rng = world.rng
-    entry = rng.choice(world.entries)
+    rng = simulation.rng
+    entry = rng.choice(simulation.entries)
     disturbance = rng.choice((_be_unready, _stop, _crash, _stand_still, _be_late))
     if entry.driver is not None:
-        disturbance(world, entry)
-    seconds = rng.random() * 2 * world.conditions.outage_seconds
-    world.timeline.after(seconds, lambda: _disturb(world))
+        disturbance(simulation, entry)
+    seconds = rng.random() * 2 * simulation.conditions.outage_seconds
+    simulation.timeline.after(seconds, lambda: _disturb(simulation))
 
 
-def _be_unready(world: World, entry: Entry) -> None:
-    entry.unready_until = world.timeline.now + world.rng.uniform(*UNREADY_SECONDS)
+def _be_unready(simulation: Simulation, entry: Entry) -> None:
+    entry.unready_until = simulation.timeline.now + simulation.rng.uniform(
+        *UNREADY_SECONDS
+    )
 
 
-def _stop(world: World, entry: Entry) -> None:
+def _stop(simulation: Simulation, entry: Entry) -> None:
     """Stop an entry as planned work does: out of rotation first."""
     driver = entry.driver
-    entry.unready_until = world.timeline.now + STOP_SECONDS
+    entry.unready_until = simulation.timeline.now + STOP_SECONDS
 
     def crash() -> None:
         if entry.driver is driver:
-            _crash(world, entry)
+            _crash(simulation, entry)
 
-    world.timeline.after(STOP_SECONDS, crash)
+    simulation.timeline.after(STOP_SECONDS, crash)
 
 
-def _crash(world: World, entry: Entry) -> None:
+def _crash(simulation: Simulation, entry: Entry) -> None:
     entry.driver = None
     entry.still_until = 0.0
-    seconds = world.rng.uniform(*UNREADY_SECONDS)
-    world.timeline.after(seconds, lambda: start_entry(world, entry))
+    seconds = simulation.rng.uniform(*UNREADY_SECONDS)
+    simulation.timeline.after(seconds, lambda: start_entry(simulation, entry))
 
 
-def _stand_still(world: World, entry: Entry) -> None:
-    now = world.timeline.now
+def _stand_still(simulation: Simulation, entry: Entry) -> None:
+    now = simulation.timeline.now
     if now >= entry.still_until:
         entry.still_since = now
-        entry.still_until = now + world.rng.uniform(*STILL_SECONDS)
+        entry.still_until = now + simulation.rng.uniform(*STILL_SECONDS)
 
 
-def _be_late(world: World, entry: Entry) -> None:
-    entry.lateness = world.rng.uniform(*LATENESS_SECONDS)
+def _be_late(simulation: Simulation, entry: Entry) -> None:
+    entry.lateness = simulation.rng.uniform(*LATENESS_SECONDS)
 
     def end() -> None:
         entry.lateness = 0.0
 
-    world.timeline.after(world.rng.uniform(*LATE_NEWS_SECONDS), end)
+    simulation.timeline.after(simulation.rng.uniform(*LATE_NEWS_SECONDS), end)
 
 
-def _check(world: World) -> None:
-    check_entries(world)
-    world.timeline.after(CHECK_SECONDS, lambda: _check(world))
+def _check(simulation: Simulation) -> None:
+    check_entries(simulation)
+    simulation.timeline.after(CHECK_SECONDS, lambda: _check(simulation))
 
 
-def _sweep(world: World) -> None:
-    now = world.timeline.now
-    for entry in world.entries:
+def _sweep(simulation: Simulation) -> None:
+    now = simulation.timeline.now
+    for entry in simulation.entries:
         if entry.driver is not None and now >= entry.still_until:
             sweep_flows(entry.driver.state, now)
             forget_old(entry.driver.state, now)
-            release_held(world, entry)
-    world.timeline.after(SWEEP_SECONDS, lambda: _sweep(world))
+            release_held(simulation, entry)
+    simulation.timeline.after(SWEEP_SECONDS, lambda: _sweep(simulation))
--- a/testing/flow_simulation/world.py
+++ b/testing/flow_simulation/simulation.py
@@ -25,7 +25,7 @@
 ENTRIES = range(4)
 STARTED_AT = 100.0
 
-Act = Callable[[], None]
+Action = Callable[[], None]
 
 
 class Conditions(NamedTuple):
@@ -65,7 +65,7 @@
     """A packet that an entry keeps for news that it lacks, since ``at``, in seconds."""
 
     at: float
-    relay: Act
+    relay: Action
 
 
 class Timeline:
@@ -74,9 +74,9 @@
     def __init__(self) -> None:
         self.now = STARTED_AT
         self.count = 0
-        self.queue: list[tuple[float, int, Act]] = []
+        self.queue: list[tuple[float, int, Action]] = []
 
-    def after(self, seconds: float, act: Act) -> None:
+    def after(self, seconds: float, act: Action) -> None:
         """Call an act after a time; acts of one time keep their order."""
         self.count += 1
         heapq.heappush(self.queue, (self.now + seconds, self.count, act))
@@ -140,7 +140,7 @@
         return state.routing is not None and state.upstreams_from is not None
 
 
-class World:
+class Simulation:
     """The state of one play.
 
     ``announced`` is what the control replicas know of the upstreams. ``news_late_at``
