--- a/src/chervilstage/protocol/handed_changes.py
+++ b/src/chervilstage/protocol/handed_changes.py
@@ -7,6 +7,7 @@
 
 from ..state.configuration import Change
 from .configuration_records import change_document, change_of
+from .schemas import reading
 
 
 class HandedChange(NamedTuple):
@@ -37,10 +38,14 @@
 
 
 def decode_handed_change(data: bytes) -> HandedChange:
-    """Decode a change that was handed over."""
-    document = json.loads(data)
-    return HandedChange(
-        change=change_of(document),
-        leader_at=document.get("leader_at"),
-        waited_seconds=document.get("waited_seconds", 0.0),
-    )
+    """Decode a change that was handed over.
+
+    :raises EnvelopeFormatError: the bytes are no such change.
+    """
+    with reading():
+        document = json.loads(data)
+        return HandedChange(
+            change=change_of(document),
+            leader_at=document.get("leader_at"),
+            waited_seconds=document.get("waited_seconds", 0.0),
+        )
--- a/src/chervilstage/protocol/schemas.py
+++ b/src/chervilstage/protocol/schemas.py
@@ -35,6 +35,18 @@
     return packed
 
 
+# What reading a damaged message, or a damaged document inside one, may raise.
+UNREADABLE = (
+    capnp.KjException,
+    zlib.error,
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
+
+
 @contextmanager
 def reading() -> Iterator[None]:
     """Turn failures to read the fields of a message into a typed error.
@@ -45,7 +57,7 @@
     """
     try:
         yield
-    except (capnp.KjException, ValueError, KeyError, TypeError, zlib.error) as error:
+    except UNREADABLE as error:
         reason = (str(error) or type(error).__name__).splitlines()[0]
         raise EnvelopeFormatError(reason=reason) from error
 
--- a/src/chervilstage/transport/change_calls.py
+++ b/src/chervilstage/transport/change_calls.py
@@ -146,8 +146,8 @@
         A frame may be delivered long after it was sent, so its age is that of the
         newest message of this leader which its sender knew.
         """
-        handed = decode_handed_change(body)
         try:
+            handed = decode_handed_change(body)
             check_awaited(handed.change, handed.waited(replica_clock()), False)
         except ChervilstageError as error:
             return encode_answer(_refused(error))
