--- a/testing/coordination/test_flow_simulation.py
+++ b/testing/coordination/test_flow_simulation.py
@@ -20,6 +20,7 @@
 )
 # An opening packet is delayed on the path and arrives after its copy opened the flow.
 LATE_OPENING_SEEDS = (1089, 1109, 1210, 2249)
+LATER_DATA_SEEDS = (1366715304,)
 # An entry hears of a removal when the route has been added again.
 QUICK_ROUTE_SEEDS = (18, 19, 47, 51, 60)
 QUICK_ROUTE_GAP_SECONDS = 0.5
@@ -43,6 +44,14 @@
         self.addDetail("plays", text_content(describe(result)))
         self.assertThat(result.findings, Equals(()))
 
+    def test_later_data_after_a_late_opening_packet_reaches_no_other_upstream(
+        self,
+    ) -> None:
+        """Guards against later data that counts as overtaking the first."""
+        result = play_all(LATER_DATA_SEEDS)
+        self.addDetail("plays", text_content(describe(result)))
+        self.assertThat(result.findings, Equals(()))
+
     def test_a_route_that_is_added_again_at_once_keeps_its_new_flows(self) -> None:
         """Guards against resets by an entry that is two routing tables behind."""
         for seed in QUICK_ROUTE_SEEDS:
