Build the calls of two tests in one place and inline a reset with one caller

_reset_unheld lost its second caller when flows on removed routes stopped being reset by entries that do not hold them; the two tests of late leave calls repeated their set-up. Behaviour and assertions are the same.

--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -242,7 +242,10 @@
     if now - ended.at > ENDING_SECONDS:
         if is_provisional(packet.token):
             return DropPacket(reason="provisional_token")
-        return _reset_unheld(packet, "upstream_ended")
+        # The flow may be open although this entry does not hold it.
+        return ResetFlow(
+            sequence=packet.acknowledged, reason="upstream_ended", is_open=True
+        )
     identity = ended.record.identity
     if identity.service not in services:
         return DropPacket(reason="foreign_token")
@@ -273,11 +276,6 @@
     )
 
 
-def _reset_unheld(packet: FlowPacket, reason: str) -> ResetFlow:
-    """Close a flow that may be open although this entry does not hold it."""
-    return ResetFlow(sequence=packet.acknowledged, reason=reason, is_open=True)
-
-
 def _forget(state: TokenRelayState, key: bytes, flow: TokenFlow) -> None:
     del state.flows[key]
     if flow.busy_since is not None:
--- a/testing/platform/test_control_calls.py
+++ b/testing/platform/test_control_calls.py
@@ -51,26 +51,31 @@
     assert refused == [CALLS]
 
 
-def test_a_late_leave_of_an_earlier_run_does_not_end_the_run_after_it(
-    tmp_path: Path,
-) -> None:
-    """Guards against the flows of a target that was started again under its id."""
+def feed_calls(folder: Path) -> ControlCalls:
+    """Return the calls of targets to a replica that no entry follows."""
     server = FeedServer(
         feed=UpstreamFeed(run=1),
         driver=cast(Any, SimpleNamespace(replica=None)),
         frames=cast(Any, SimpleNamespace(serve=lambda kind, handler: None)),
         services_of=lambda document: frozenset({SERVICE}),
-        store=UpstreamStore(folder=tmp_path),
+        store=UpstreamStore(folder=folder),
     )
-    calls = ControlCalls(
+    return ControlCalls(
         changes=cast(ChangeCalls, None),
         feed=server,
         data_centres=frozenset(),
         counters=Counters(),
     )
-    take_record(server.feed, make_record(1, incarnation=1_000), replica_clock())
+
+
+def test_a_late_leave_of_an_earlier_run_does_not_end_the_run_after_it(
+    tmp_path: Path,
+) -> None:
+    """Guards against the flows of a target that was started again under its id."""
+    calls = feed_calls(tmp_path)
+    take_record(calls.feed.feed, make_record(1, incarnation=1_000), replica_clock())
     again = make_record(1, incarnation=2_000)
-    take_record(server.feed, again, replica_clock())
+    take_record(calls.feed.feed, again, replica_clock())
     leave = HttpRequest(
         method="POST",
         target="/instances/i-1/leave",
@@ -82,30 +87,18 @@
         await calls.answer(leave)
 
     anyio.run(main)
-    assert list(server.feed.registry.records.values()) == [again]
+    assert list(calls.feed.feed.registry.records.values()) == [again]
 
 
 def test_a_late_leave_without_a_body_does_not_end_a_later_run_of_its_id(
     tmp_path: Path,
 ) -> None:
     """Guards against the flows of a target that was started again under its id."""
-    server = FeedServer(
-        feed=UpstreamFeed(run=1),
-        driver=cast(Any, SimpleNamespace(replica=None)),
-        frames=cast(Any, SimpleNamespace(serve=lambda kind, handler: None)),
-        services_of=lambda document: frozenset({SERVICE}),
-        store=UpstreamStore(folder=tmp_path),
-    )
-    calls = ControlCalls(
-        changes=cast(ChangeCalls, None),
-        feed=server,
-        data_centres=frozenset(),
-        counters=Counters(),
-    )
+    calls = feed_calls(tmp_path)
     ends = make_record(1, incarnation=1_000, phase=UpstreamPhase.LEAVING)
     again = make_record(1, incarnation=2_000)
     for record in (ends, again):
-        take_record(server.feed, record, replica_clock())
+        take_record(calls.feed.feed, record, replica_clock())
     leave = HttpRequest(
         method="POST", target="/instances/i-1/leave", headers={}, body=b""
     )
@@ -114,4 +107,4 @@
         await calls.answer(leave)
 
     anyio.run(main)
-    assert list(server.feed.registry.records.values()) == [again]
+    assert list(calls.feed.feed.registry.records.values()) == [again]
