--- a/src/chervilstage/platform/documents.py
+++ b/src/chervilstage/platform/documents.py
@@ -9,6 +9,7 @@
 from ..errors.configuration import RoutingInvalidError
 from ..errors.platform import FieldError
 from ..errors.upstreams import AnnouncementError
+from ..protocol.json_fields import count_of, number_of, text_of
 from ..state.configuration import RoutingDocument
 from ..state.routing import (
     Route,
@@ -28,7 +29,6 @@
 PHASES = {"ready": UpstreamPhase.READY, "draining": UpstreamPhase.LEAVING}
 LABEL_BITS = 64
 MAXIMUM_SLOTS = 10_000
-COUNT_LIMIT = 1 << 63
 MALFORMED = (
     ChervilstageError,
     ValueError,
@@ -73,7 +73,7 @@
     :raises AnnouncementError: the body is malformed.
     """
     try:
-        return _count(json.loads(body).get("born", 0)) or None if body else None
+        return count_of(json.loads(body).get("born", 0)) or None if body else None
     except MALFORMED as error:
         raise AnnouncementError(reason=_shown(error)) from error
 
@@ -96,10 +96,10 @@
 def _routing(document: dict[str, Any]) -> Routing:
     limits = document.get("Limits", {})
     return Routing(
-        version=_count(document["Version"]),
+        version=count_of(document["Version"]),
         routes=tuple(_route(item) for item in document["Routes"]),
         services=tuple(_service(item) for item in document["Services"]),
-        flow_idle_seconds=_count(limits.get("IdleTimeoutMs", 60_000)) / MILLISECONDS,
+        flow_idle_seconds=count_of(limits.get("IdleTimeoutMs", 60_000)) / MILLISECONDS,
     )
 
 
@@ -107,76 +107,57 @@
     """Return a route; its ``PathPrefix`` holds a port between slashes."""
     if "Split" in item:
         shares = tuple(
-            ServiceShare(service=_text(s["Service"]), weight=_count(s["Weight"]))
+            ServiceShare(service=text_of(s["Service"]), weight=count_of(s["Weight"]))
             for s in item["Split"]
         )
     else:
-        shares = (ServiceShare(service=_text(item["Service"]), weight=1),)
+        shares = (ServiceShare(service=text_of(item["Service"]), weight=1),)
     return Route(
-        name=_text(item["Name"]),
+        name=text_of(item["Name"]),
         address=Address(
-            host=_text(item["Host"]), port=int(_text(item["PathPrefix"]).strip("/"))
+            host=text_of(item["Host"]), port=int(text_of(item["PathPrefix"]).strip("/"))
         ),
         kind=KINDS[item["Kind"]],
-        timeout_seconds=_number(item["TimeoutMs"]) / MILLISECONDS,
-        objective_seconds=_number(item.get("AimMs", 0)) / MILLISECONDS,
-        priority=_count(item.get("Priority", 0)),
+        timeout_seconds=number_of(item["TimeoutMs"]) / MILLISECONDS,
+        objective_seconds=number_of(item.get("AimMs", 0)) / MILLISECONDS,
+        priority=count_of(item.get("Priority", 0)),
         shares=shares,
     )
 
 
 def _service(item: dict[str, Any]) -> RoutedService:
     return RoutedService(
-        name=_text(item["Name"]),
-        health_path=_text(item.get("HealthPath", "")),
-        max_flows=_count(item.get("ConnectionLimit", 0)),
-        cold_seconds=_number(item.get("ColdStartS", 0)),
-        cold_flows_per_second=_number(item.get("ColdPerS", 0)),
+        name=text_of(item["Name"]),
+        health_path=text_of(item.get("HealthPath", "")),
+        max_flows=count_of(item.get("ConnectionLimit", 0)),
+        cold_seconds=number_of(item.get("ColdStartS", 0)),
+        cold_flows_per_second=number_of(item.get("ColdPerS", 0)),
     )
 
 
 def _record(label: int, document: dict[str, Any]) -> UpstreamRecord:
     """Return a target's record; ``born`` is when it started."""
-    _text(document["Version"])  # That of its software, which is not used.
-    address = parse_address(_text(document["Address"]))
-    slots = _count(document["Slots"])
+    text_of(document["Version"])  # That of its software, which is not used.
+    address = parse_address(text_of(document["Address"]))
+    slots = count_of(document["Slots"])
     if not 0 < slots <= MAXIMUM_SLOTS:
         raise FieldError(value=slots, reason="no number of slots")
     return UpstreamRecord(
         identity=UpstreamId(
             address=address,
-            incarnation=_count(document["born"]),
-            service=_text(document["Service"]),
+            incarnation=count_of(document["born"]),
+            service=text_of(document["Service"]),
         ),
         request_address=address,
-        data_centre=_text(document["Zone"]),
-        sequence=_count(document["Sequence"]),
+        data_centre=text_of(document["Zone"]),
+        sequence=count_of(document["Sequence"]),
         phase=PHASES[document["State"]],
         slots=slots,
         load=0,
         label=label,
-        cold_seconds=_number(document["ColdRemainingMs"]) / MILLISECONDS,
+        cold_seconds=number_of(document["ColdRemainingMs"]) / MILLISECONDS,
     )
 
 
 def _shown(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise FieldError(value=value, reason="no text")
-    return value
-
-
-def _count(value: Any) -> int:
-    if type(value) is not int or not 0 <= value < COUNT_LIMIT:
-        raise FieldError(value=value, reason="no whole number from 0")
-    return value
-
-
-def _number(value: Any) -> float:
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not 0 <= value < COUNT_LIMIT:
-        raise FieldError(value=value, reason="no number from 0")
-    return float(value)
