Tell how an entry's link bears what it is given, and how much of it is repeated

An engineer on call could not tell packets that are lost behind an entry from packets that wait there, or from uploads that are let in beyond what the link carries: nothing counted bytes, repeats or the rate of the link.

The rate of the VM's link is read from the settings. Each entry counts what it gives to the link, how far ahead of the link's rate that is, and data whose copy it has relayed before; it logs one line every 5 s and exports counters, a gauge and a histogram.

--- a/src/chervilstage/coordination/flow_accounting.py
+++ b/src/chervilstage/coordination/flow_accounting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..state.flow_packets import NUMBER_SPACE, FlowPacket, is_after
+from ..state.link import Link
 from ..state.token_flows import TokenFlow, TokenRelayState, UpstreamLoad
 from .suspicion import note_answer, note_question, note_silence
 
@@ -12,6 +13,8 @@
 # Callers have at most 16 packets of 1,200 bytes in flight.
 WINDOW_BYTES = 16 * 1200
 LATENCY_WEIGHT = 0.2
+# Twice the packets of a window.
+KEPT_COPIES = 32
 
 
 def account_packet(
@@ -45,6 +48,7 @@
     now: float,
 ) -> None:
     """Follow the bytes of a request; those beyond a window prove an upstream alive."""
+    _note_relayed(state.link, flow, packet, now)
     end = (packet.sequence + packet.size) % NUMBER_SPACE
     if is_after(end, flow.highest):
         flow.highest = end
@@ -60,6 +64,34 @@
         note_silence(state, flow.upstream, now)
 
 
+def _note_relayed(link: Link, flow: TokenFlow, packet: FlowPacket, now: float) -> None:
+    """Count data that is relayed, and tell copies from what was not seen before."""
+    link.traffic.data_packets += 1
+    before = flow.relayed.get(packet.sequence)
+    if before is not None:
+        link.traffic.repeated_packets += 1
+        link.repeat_seconds.observe(now - before)
+    flow.relayed[packet.sequence] = now
+    if len(flow.relayed) > KEPT_COPIES:
+        _forget_acknowledged(flow)
+
+
+def _forget_acknowledged(flow: TokenFlow) -> None:
+    """Forget data more than a window before the newest; it is not sent again."""
+    flow.relayed = {
+        sequence: at
+        for sequence, at in flow.relayed.items()
+        if (flow.highest - sequence) % NUMBER_SPACE <= WINDOW_BYTES
+    }
+
+
+def is_bulk(flow: TokenFlow) -> bool:
+    """Tell whether a flow sends a request of more than a window."""
+    if flow.busy_since is None:
+        return False
+    return (flow.highest - flow.began_at) % NUMBER_SPACE > WINDOW_BYTES
+
+
 def _is_stalled(flow: TokenFlow, load: UpstreamLoad, now: float) -> bool:
     started = flow.busy_since or now
     return now - max(started, load.answered_at) > STALL_SECONDS
@@ -69,6 +101,7 @@
     """Take note that no request of a flow waits any more."""
     if flow.busy_since is not None:
         flow.busy_since = None
+        flow.relayed.clear()
         load_of_run(state, flow).in_flight -= 1
 
 
--- a/src/chervilstage/platform/entry.py
+++ b/src/chervilstage/platform/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..state.counters import Counters
+from ..state.link import Link
 from ..state.types import Address, Peer
 from ..transport.application import Application
 from ..transport.token_entry import TokenEntry
@@ -34,6 +35,7 @@
         key=SHARED_KEY,
         counters=counters,
         announcement_seconds=settings.announcement_seconds,
+        link=Link(bytes_per_second=settings.link_bytes_per_second),
     )
     app = make_application(settings, started_at)
     entry.add_to(app)
--- a/src/chervilstage/platform/settings.py
+++ b/src/chervilstage/platform/settings.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+from math import inf
 from pathlib import Path
 from socket import inet_aton
 from typing import Any, NamedTuple
@@ -11,10 +12,12 @@
 from ..errors import ChervilstageError
 from ..errors.platform import FieldError
 from ..errors.settings import DocumentError, FileUnreadableError
+from ..protocol.json_fields import number_of
 from ..state.types import Address
 
 SETTINGS_VARIABLE = "CHERVILSTAGE_NODE_FILE"
 MILLISECONDS = 1000.0
+BYTES_PER_MEGABIT = 125_000
 HIGHEST_PORT = 65_535
 
 
@@ -26,7 +29,7 @@
     ``may_form`` is true only when the whole system starts for the first time.
     ``tolerated_vms`` is how many VMs with a disk may be lost at once. ``stop_seconds``
     is the time from SIGTERM to SIGKILL. Addresses that the role does not serve are
-    None.
+    None. ``link_bytes_per_second`` is infinite if the rate of the link is not told.
     """
 
     name: str
@@ -43,6 +46,7 @@
     packets: Address | None
     readiness: Address | None
     control: Address | None
+    link_bytes_per_second: float
 
 
 def settings_path() -> Path:
@@ -105,9 +109,23 @@
         packets=_address(listen, "DatagramAddress"),
         readiness=_address(listen, "Ready"),
         control=_address(listen, "Control"),
+        link_bytes_per_second=_link_rate(document.get("Limits", {})),
     )
 
 
+def _link_rate(limits: dict[str, Any]) -> float:
+    """Return the rate of the VM's own link in bytes a second.
+
+    :raises FieldError: it is no positive number.
+    """
+    if limits.get("LinkMbps") is None:
+        return inf
+    megabits = number_of(limits["LinkMbps"])
+    if not megabits:
+        raise FieldError(value=megabits, reason="no rate of a link")
+    return megabits * BYTES_PER_MEGABIT
+
+
 def _address(listen: dict[str, Any], key: str) -> Address | None:
     return parse_address(listen[key]) if listen.get(key) else None
 
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from .histograms import Histogram
+from .link import Link
 from .registry import UpstreamRegistry
 from .routing import Endpoint, Route, Routing
 from .types import Address, UpstreamRecord
@@ -22,7 +23,8 @@
     upstreams that did not answer it. ``token`` is that of the upstream once the flow is
     open, 0 before. ``busy_since`` is when the request that is not yet answered began,
     None while there is none; ``answered_up_to`` is what the caller had acknowledged
-    then. ``highest`` is the end of the bytes that the caller has sent.
+    then. ``highest`` is the end of the bytes that the caller has sent. ``relayed``
+    tells when data of the unanswered request was last relayed, by its sequence.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         "lacks_copies",
         "latest_copy",
         "opening",
+        "relayed",
         "seen_at",
         "sent_at",
         "service",
@@ -60,6 +63,7 @@
         self.answered_up_to = 0
         self.highest = 0
         self.began_at = 0
+        self.relayed: dict[int, float] = {}
         self.tried: frozenset[Address] = frozenset()
 
 
@@ -138,11 +142,15 @@
 
     :param name: the name of this entry.
     :param announcement_seconds: how often upstreams announce themselves.
+    :param link: what this entry sends on, one of unknown rate by default.
     """
 
-    def __init__(self, *, name: str, announcement_seconds: float) -> None:
+    def __init__(
+        self, *, name: str, announcement_seconds: float, link: Link | None = None
+    ) -> None:
         self.name = name
         self.announcement_seconds = announcement_seconds
+        self.link = link or Link()
         self.routing: Routing | None = None
         self.routing_told = 0
         self.has_current_news = False
--- a/src/chervilstage/transport/relay_log.py
+++ b/src/chervilstage/transport/relay_log.py
@@ -6,10 +6,12 @@
 from math import isfinite
 from typing import Any
 
+from ..coordination.flow_accounting import is_bulk
 from ..coordination.flow_tokens import TOKEN_MASK, flow_token
 from ..errors import ChervilstageError
 from ..state.counters import Counters
 from ..state.flow_packets import DropPacket, FlowPacket, Forward, ResetFlow
+from ..state.link import LinkTraffic
 from ..state.routing import Endpoint
 from ..state.token_flows import NEVER, TokenFlow, TokenRelayState
 from ..state.types import UpstreamRecord
@@ -113,6 +115,22 @@
                 reason=error,
             )
 
+    def sent(
+        self, state: TokenRelayState, traffic: LinkTraffic, seconds: float
+    ) -> None:
+        """Log what was sent in some seconds, and how the link bore it."""
+        log_event(
+            "link_load",
+            seconds=round(seconds, 1),
+            packets=traffic.packets,
+            bytes=traffic.bytes,
+            utilisation=round(traffic.bytes / seconds / state.link.bytes_per_second, 2),
+            ahead_ms=milliseconds(traffic.ahead_seconds),
+            data_packets=traffic.data_packets,
+            repeated_packets=traffic.repeated_packets,
+            bulk_flows=sum(is_bulk(flow) for flow in state.flows.values()),
+        )
+
     def flush(self) -> None:
         """Log how many lines were left out since the last call."""
         self.budget.flush()
--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -10,6 +10,7 @@
 from ..state.configuration import RoutingDocument
 from ..state.counters import Counters
 from ..state.histograms import Histogram
+from ..state.link import Link
 from ..state.routing import Routing
 from ..state.token_flows import TokenRelayState
 from ..state.types import Address, Peer
@@ -47,6 +48,7 @@
     :param decode_routing: decodes a routing table that the control replicas accepted.
     :param key: the key that the processes of the system share.
     :param announcement_seconds: how often upstreams announce themselves.
+    :param link: what this entry sends on.
     """
 
     def __init__(
@@ -60,9 +62,10 @@
         key: bytes,
         counters: Counters,
         announcement_seconds: float,
+        link: Link | None = None,
     ) -> None:
         self.state = TokenRelayState(
-            name=own.name, announcement_seconds=announcement_seconds
+            name=own.name, announcement_seconds=announcement_seconds, link=link
         )
         self.decode_routing = decode_routing
         self.revision = 0
@@ -189,6 +192,7 @@
             "upstreams_known": len(state.registry.records),
             "requests_in_flight": sum(v.in_flight for v in state.loads.values()),
             "packets_held": len(self.relay.held),
+            "link_ahead_seconds": state.link.ahead(replica_clock()),
         }
 
     def durations(self) -> dict[str, Histogram]:
@@ -196,6 +200,7 @@
         return {
             "flow_open_seconds": self.state.open_seconds,
             "request_seconds": self.state.latencies,
+            "repeat_seconds": self.state.link.repeat_seconds,
         }
 
     def following(self) -> tuple[FeedFollower, RoutingFetcher]:
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -31,6 +31,7 @@
 from .relay_log import RelayLog
 
 SWEEP_SECONDS = 1.0
+LINK_REPORT_SECONDS = 5.0
 LATENESS_CHECK_SECONDS = 0.2
 # What arrives before the first directory waits for it, no longer than a caller waits
 # before it repeats a packet.
@@ -113,10 +114,9 @@
         decision = relay_packet(self.state, packet, now, self.rng, waited)
         if isinstance(decision, Forward):
             out = self.codec.forward(datagram.data, decision.label, decision.token)
-            if not send_datagram(self.sock, out, decision.address):
-                self.counters.add("packets_unsent", "upstream")
+            self.send(out, decision.address, "upstream", now)
         elif isinstance(decision, ResetFlow):
-            self.reset(packet.caller, packet.front, decision)
+            self.reset(packet.caller, packet.front, decision, now)
         elif decision.reason in HELD_REASONS:
             self.hold(datagram)
             return
@@ -124,17 +124,28 @@
             self.counters.add("packets_dropped", decision.reason)
         self.note(packet, decision, now)
 
+    def send(self, data: bytes, to: tuple[str, int], kind: str, now: float) -> None:
+        """Give a datagram to the link.
+
+        :param kind: names the receiver for the counter of what the kernel refuses.
+        """
+        if send_datagram(self.sock, data, to):
+            self.state.link.give(len(data), now)
+        else:
+            self.counters.add("packets_unsent", kind)
+
     def hold(self, datagram: ReceivedDatagram) -> None:
         """Keep a datagram for a moment; the oldest one gives way."""
         if len(self.held) == HELD_PACKETS:
             self.counters.add("packets_dropped", "hold_buffer_full")
         self.held.append(datagram)
 
-    def reset(self, caller: Endpoint, front: Endpoint, decision: ResetFlow) -> None:
+    def reset(
+        self, caller: Endpoint, front: Endpoint, decision: ResetFlow, now: float
+    ) -> None:
         """Tell a caller that its flow is closed."""
         out, to = self.codec.reset(caller, front, decision.sequence)
-        if not send_datagram(self.sock, out, to):
-            self.counters.add("packets_unsent", "caller")
+        self.send(out, to, "caller", now)
         self.counters.add("flows_reset", decision.reason)
 
     def note(
@@ -200,11 +211,25 @@
             self.release_held()
             self.log.flush()
 
+    async def report_link(self) -> None:
+        """Count and log what was sent, every few seconds until cancelled."""
+        while True:
+            started = replica_clock()
+            await anyio.sleep(LINK_REPORT_SECONDS)
+            traffic = self.state.link.take_traffic()
+            repeated = traffic.repeated_packets
+            self.counters.add("data_packets", "repeated", repeated)
+            self.counters.add("data_packets", "first", traffic.data_packets - repeated)
+            self.counters.add("sent_bytes", count=traffic.bytes)
+            if traffic.packets:
+                self.log.sent(self.state, traffic, replica_clock() - started)
+
     async def start(self, group: TaskGroup) -> None:
         """Begin to relay."""
         group.start_soon(receive_datagrams, self.sock, self.receive, self.note_drained)
         group.start_soon(self.sweep)
         group.start_soon(self.watch_lateness)
+        group.start_soon(self.report_link)
 
     async def drain(self) -> None:
         """Relay on until the fabric sends its packets elsewhere."""
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -30,8 +31,10 @@
     "HeartbeatIntervalMs": 1200,
     "DataDirectory": None,
     "Listen": {"DatagramAddress": "10.1.0.10:8172", "Ready": "10.1.0.10:8167"},
+    "Limits": {"CpuShare": 0.236, "LinkMbps": 4.0, "DiskMb": 0},
     "SomethingNew": {"later": 1},
 }
+OPTIONAL = {"SomethingNew", "Limits"}
 
 
 def write(folder: Path, document: object) -> Path:
@@ -54,9 +57,27 @@
         Address(host="10.2.0.41", port=7720),
     ]
     assert entry_port(settings) == 7721
+    assert settings.link_bytes_per_second == 500_000
 
 
-@pytest.mark.parametrize("key", [k for k in DOCUMENT if k != "SomethingNew"])
+def test_a_link_of_unknown_rate_has_no_bound(tmp_path: Path) -> None:
+    """Guards against an entry that does not start where the rate is not told."""
+    for limits in ({}, {"LinkMbps": None}):
+        settings = read_settings(write(tmp_path, {**DOCUMENT, "Limits": limits}))
+        assert settings.link_bytes_per_second == inf
+
+
+@pytest.mark.parametrize("rate", [0, -1, "4", [], True, float("nan")])
+def test_a_rate_that_is_no_positive_number_is_refused(
+    tmp_path: Path, rate: object
+) -> None:
+    """Guards against an entry that sends nothing, or ends, on odd settings."""
+    document = {**DOCUMENT, "Limits": {"LinkMbps": rate}}
+    with pytest.raises(DocumentError, match="FieldError"):
+        read_settings(write(tmp_path, document))
+
+
+@pytest.mark.parametrize("key", [k for k in DOCUMENT if k not in OPTIONAL])
 def test_a_missing_field_is_named(tmp_path: Path, key: str) -> None:
     """Guards against a process that starts on half of its settings."""
     document = {k: v for k, v in DOCUMENT.items() if k != key}
--- a/testing/transport/test_relay_log.py
+++ b/testing/transport/test_relay_log.py
@@ -25,8 +25,8 @@
 CALLER = Address(host=CALLER_HOST, port=40_001)
 
 
-class LinesOfClosedFlowsTests(TestCase):
-    """Guards against closed flows that nobody can explain afterwards."""
+class LinesTestCase(TestCase):
+    """Collects the log lines of a test."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -40,6 +40,10 @@
         logger.setLevel(logging.INFO)
         self.addCleanup(logger.setLevel, level)
 
+
+class LinesOfClosedFlowsTests(LinesTestCase):
+    """Guards against closed flows that nobody can explain afterwards."""
+
     def test_lines_of_new_flows_do_not_crowd_out_the_line_of_a_closed_one(self) -> None:
         relay = RelayDriver(records=[make_record(1)])
         log = RelayLog(counters=Counters())
@@ -95,6 +99,37 @@
         self.assertThat(replaced["packet_upstream"], Equals("10.0.0.2:8080"))
 
 
+class LinesOfTheLinkTests(LinesTestCase):
+    """Guards against callers that wait for a full link without a sign of it."""
+
+    def test_the_line_tells_repeated_data_and_the_lead_over_the_link(self) -> None:
+        relay = RelayDriver(records=[make_record(1)])
+        link = relay.state.link
+        link.bytes_per_second = 500_000.0
+        token = relay.open(40_001).token or 0
+        for sequence in (1, 1_201, 1):
+            relay.send(40_001, token=token, sequence=sequence, size=1_200)
+            link.give(1_239, relay.now)
+        log = RelayLog(counters=Counters())
+        log.sent(relay.state, link.take_traffic(), 5.0)
+        (line,) = self.lines
+        self.assertThat(line["event"], Equals("link_load"))
+        self.assertThat((line["packets"], line["bytes"]), Equals((3, 3_915)))
+        self.assertThat(line["ahead_ms"], Equals(8))
+        self.assertThat(
+            (line["data_packets"], line["repeated_packets"]), Equals((3, 1))
+        )
+        self.assertThat(link.take_traffic().packets, Equals(0))
+
+    def test_a_link_of_unknown_rate_is_not_called_full(self) -> None:
+        relay = RelayDriver(records=[])
+        relay.state.link.give(1_239, relay.now)
+        traffic = relay.state.link.take_traffic()
+        RelayLog(counters=Counters()).sent(relay.state, traffic, 5.0)
+        (line,) = self.lines
+        self.assertThat((line["utilisation"], line["ahead_ms"]), Equals((0.0, 0)))
+
+
 class LoopLatenessTests(TestCase):
     """Guards against a pause of the loop that does not show, or shows for ever."""
 
