Show in a simulation of narrow links that uploads are lost at links with room

Callers of uploads on the grown deployments wait for seconds at entries whose links carry less than half of their rate.

testing/link_simulation plays callers as the platform describes them (16 packets in flight, repeats after 200 ms, the window again after a repeat, three tries from new ports), the real relay_packet, and such links.

The timeline of the simulations moves to a module that both use.

--- /dev/null
+++ b/testing/coordination/test_link_simulation.py
@@ -0,0 +1,43 @@
+"""What callers get through entries whose links are the bottleneck."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.content import text_content
+from testtools.matchers import GreaterThan
+
+from testing.link_simulation.__main__ import describe
+from testing.link_simulation.play import BOOKING, Conditions, Outcome, play
+
+SEEDS = range(1, 5)
+RISING_LOADS = (0.5, 0.8, 1.2, 1.6)
+
+
+class LinkSimulationTests(TestCase):
+    """Plays of fixed seeds."""
+
+    def play(self, seed: int, load: float) -> Outcome:
+        """Play a seed and keep what it shows for a failure."""
+        outcome = play(seed, Conditions(load=load))
+        self.addDetail(f"seed {seed} load {load}", text_content(describe(outcome)))
+        return outcome
+
+    def test_requests_are_answered_in_time_where_links_are_half_used(self) -> None:
+        """Guards against bursts of uploads that are lost at a link with room."""
+        for seed in SEEDS:
+            outcome = self.play(seed, 0.5)
+            ratio = outcome.goodput() / outcome.offered()
+            self.assertThat(ratio, GreaterThan(0.97))
+
+    def test_goodput_does_not_fall_when_the_load_rises(self) -> None:
+        """Guards against links that carry copies and uploads that end too late."""
+        best = 0.0
+        for load in RISING_LOADS:
+            goodput = self.play(1, load).goodput()
+            self.assertThat(goodput, GreaterThan(0.95 * best))
+            best = max(best, goodput)
+
+    def test_short_requests_do_not_wait_for_uploads(self) -> None:
+        """Guards against bookings that are late behind uploads on a full link."""
+        outcome = self.play(1, 1.2)
+        self.assertThat(outcome.share_in_time(BOOKING), GreaterThan(0.99))
--- a/testing/flow_simulation/simulation.py
+++ b/testing/flow_simulation/simulation.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import Counter
-from collections.abc import Callable
 from enum import StrEnum
 from random import Random
 from typing import NamedTuple
 
 from chervilstage.state.routing import Routing
 from chervilstage.state.types import Address, UpstreamPhase, UpstreamRecord
+from testing.support.timeline import STARTED_AT, Action, Timeline
 from testing.support.token_relays import (
     FRONT,
     SERVICE,
@@ -23,9 +22,6 @@
 FRONTS = (FRONT, Address(host="198.18.0.2", port=443))
 UPSTREAMS = range(1, 7)
 ENTRIES = range(4)
-STARTED_AT = 100.0
-
-Action = Callable[[], None]
 
 
 class Conditions(NamedTuple):
@@ -68,26 +64,6 @@
     relay: Action
 
 
-class Timeline:
-    """The acts to come, in order of their time in seconds."""
-
-    def __init__(self) -> None:
-        self.now = STARTED_AT
-        self.count = 0
-        self.queue: list[tuple[float, int, Action]] = []
-
-    def after(self, seconds: float, act: Action) -> None:
-        """Call an act after a time; acts of one time keep their order."""
-        self.count += 1
-        heapq.heappush(self.queue, (self.now + seconds, self.count, act))
-
-    def play(self, seconds: float) -> None:
-        """Carry out the acts of the first seconds."""
-        while self.queue and self.queue[0][0] < STARTED_AT + seconds:
-            self.now, _, act = heapq.heappop(self.queue)
-            act()
-
-
 class Upstream:
     """One run of an upstream; ``half`` and ``open`` hold the tokens of flows by port.
 
--- /dev/null
+++ b/testing/link_simulation/__init__.py
@@ -0,0 +1,1 @@
+"""A simulation of requests through entries whose links carry little."""
