Give packets to a narrow link at its rate, flow by flow, and none of them twice

Cause: an entry sent each packet on as soon as it had read it. A caller's window of 16 packets is 43 ms of a link of 3.9 Mbit/s, which keeps 50 ms and drops the rest without an error. Where two uploads met, one lost packets, waited 200 ms, and sent its window again on top of the other one; 23 to 60 % of what such entries relayed were repeats.

Ruled out: waiting of more than 200 ms (the links were used to a fifth where repeats began), loss on the way to the entry (all first copies had been read), uneven load (every data centre).

Packets now wait at the entry. Data that waits is not queued a second time, and its upstream is not blamed for the wait. A request begins for the upstream when its first data leaves. The queue is bounded in bytes and by flow. An opening packet is left out once its caller has given up. A link whose rate is not told, or that is fast enough, takes each packet at once as before.

--- a/src/chervilstage/coordination/flow_accounting.py
+++ b/src/chervilstage/coordination/flow_accounting.py
@@ -48,7 +48,6 @@
     now: float,
 ) -> None:
     """Follow the bytes of a request; those beyond a window prove an upstream alive."""
-    _note_relayed(state.link, flow, packet, now)
     end = (packet.sequence + packet.size) % NUMBER_SPACE
     if is_after(end, flow.highest):
         flow.highest = end
@@ -56,6 +55,7 @@
             flow.busy_since = now
             flow.answered_up_to = packet.acknowledged
             flow.began_at = packet.sequence
+            flow.relayed.clear()
             load.in_flight += 1
             note_question(state, flow.upstream, now)
         elif (end - flow.began_at) % NUMBER_SPACE > WINDOW_BYTES:
@@ -64,8 +64,14 @@
         note_silence(state, flow.upstream, now)
 
 
-def _note_relayed(link: Link, flow: TokenFlow, packet: FlowPacket, now: float) -> None:
-    """Count data that is relayed, and tell copies from what was not seen before."""
+def note_relayed(link: Link, flow: TokenFlow, packet: FlowPacket, now: float) -> None:
+    """Count data that is sent on, and tell copies from what was not sent before.
+
+    A request begins when its first data leaves: an upstream cannot answer what waits
+    here for the link.
+    """
+    if flow.busy_since is not None and not flow.relayed:
+        flow.busy_since = now
     link.traffic.data_packets += 1
     before = flow.relayed.get(packet.sequence)
     if before is not None:
@@ -101,7 +107,6 @@
     """Take note that no request of a flow waits any more."""
     if flow.busy_since is not None:
         flow.busy_since = None
-        flow.relayed.clear()
         load_of_run(state, flow).in_flight -= 1
 
 
--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -34,6 +34,7 @@
     take_upstream,
 )
 from .flow_tokens import PROVISIONAL, flow_token, is_provisional, provisional_token
+from .link_schedule import is_waiting
 from .opening_copies import is_given_up, is_only_copy, note_copy, opens_flow
 from .placement import choose_service, choose_upstream
 from .suspicion import note_answer, note_silence
@@ -85,6 +86,9 @@
         return _end_flow(state, key, flow, packet, "route_removed")
     if _has_ended(state, flow, now):
         return _end_flow(state, key, flow, packet, "upstream_ended")
+    if is_waiting(state.link, key, packet):
+        flow.seen_at = now
+        return DropPacket(reason="copy_waits")
     account_packet(state, flow, packet, now)
     record = flow.upstream
     return Forward(
@@ -160,6 +164,9 @@
         take_upstream(state, flow, now)
     elif flow.is_open:
         return DropPacket(reason="late_copy")
+    elif is_waiting(state.link, key, packet):
+        note_copy(flow, packet, waited)
+        return DropPacket(reason="copy_waits")
     elif now - flow.sent_at >= COPY_SECONDS:
         _try_another(state, key, flow, now, rng)
     flow.sent_at = flow.seen_at = now
--- a/src/chervilstage/state/flow_packets.py
+++ b/src/chervilstage/state/flow_packets.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from .routing import Endpoint
-from .token_flows import TokenFlow
 from .types import Address
 
+if TYPE_CHECKING:
+    from .token_flows import TokenFlow
+
 NUMBER_SPACE = 1 << 32
 
 
--- a/src/chervilstage/state/link.py
+++ b/src/chervilstage/state/link.py
@@ -5,9 +5,12 @@
 from math import inf
 
 from .histograms import Histogram
+from .link_queue import LinkQueue
 
 # Preamble, Ethernet header and checksum, gap between frames, IPv4 and UDP headers.
 DATAGRAM_OVERHEAD_BYTES = 66
+# Messages with the control replicas and the fabric take the rest.
+CALLERS_SHARE = 0.95
 
 
 class LinkTraffic:
@@ -15,7 +18,7 @@
 
     ``data_packets`` carried bytes of callers, ``repeated_packets`` of them bytes that
     had been relayed here before. ``ahead_seconds`` is the most that the link was given
-    ahead of its rate.
+    ahead of its rate, ``waited_seconds`` the longest wait of a packet for the link.
     """
 
     def __init__(self) -> None:
@@ -24,13 +27,15 @@
         self.data_packets = 0
         self.repeated_packets = 0
         self.ahead_seconds = 0.0
+        self.waited_seconds = 0.0
 
 
 class Link:
     """The outgoing link of a VM.
 
     ``free_at`` is when the link will have carried all that it has been given, in
-    seconds. ``repeat_seconds`` counts the times between two copies of relayed data.
+    seconds; what it is not given yet waits in ``queue``. ``repeat_seconds`` counts the
+    times between two copies of relayed data.
 
     :param bytes_per_second: its rate, infinite if that is not known.
     """
@@ -38,6 +43,7 @@
     def __init__(self, *, bytes_per_second: float = inf) -> None:
         self.bytes_per_second = bytes_per_second
         self.free_at = -inf
+        self.queue = LinkQueue()
         self.traffic = LinkTraffic()
         self.repeat_seconds = Histogram()
 
@@ -48,7 +54,8 @@
     def give(self, size: int, now: float) -> None:
         """Take note of a datagram that is given to the link."""
         size += DATAGRAM_OVERHEAD_BYTES
-        self.free_at = max(self.free_at, now) + size / self.bytes_per_second
+        seconds = size / (CALLERS_SHARE * self.bytes_per_second)
+        self.free_at = max(self.free_at, now) + seconds
         traffic = self.traffic
         traffic.packets += 1
         traffic.bytes += size
--- a/src/chervilstage/transport/relay_log.py
+++ b/src/chervilstage/transport/relay_log.py
@@ -126,6 +126,8 @@
             bytes=traffic.bytes,
             utilisation=round(traffic.bytes / seconds / state.link.bytes_per_second, 2),
             ahead_ms=milliseconds(traffic.ahead_seconds),
+            waited_ms=milliseconds(traffic.waited_seconds),
+            queued_packets=state.link.queue.packets,
             data_packets=traffic.data_packets,
             repeated_packets=traffic.repeated_packets,
             bulk_flows=sum(is_bulk(flow) for flow in state.flows.values()),
--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -192,6 +192,7 @@
             "upstreams_known": len(state.registry.records),
             "requests_in_flight": sum(v.in_flight for v in state.loads.values()),
             "packets_held": len(self.relay.held),
+            "link_queue_packets": state.link.queue.packets,
             "link_ahead_seconds": state.link.ahead(replica_clock()),
         }
 
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -16,6 +16,7 @@
 from ..errors import ChervilstageError
 from ..state.counters import Counters
 from ..state.flow_packets import DropPacket, FlowPacket, Forward, ResetFlow
+from ..state.link_queue import QueuedPacket
 from ..state.routing import Endpoint
 from ..state.token_flows import TokenRelayState
 from ..state.types import Address
@@ -28,6 +29,7 @@
     receive_datagrams,
     send_datagram,
 )
+from .paced_sender import PacedSender
 from .relay_log import RelayLog
 
 SWEEP_SECONDS = 1.0
@@ -90,6 +92,7 @@
         self.held: deque[ReceivedDatagram] = deque(maxlen=HELD_PACKETS)
         self.received_at = replica_clock()
         self.sock = open_datagram_socket(*address)
+        self.sender = PacedSender(sock=self.sock, state=state, counters=counters)
         self.arrivals = ArrivalBound(
             now=self.received_at, buffer_bytes=RECEIVE_BUFFER_BYTES
         )
@@ -113,8 +116,7 @@
         waited = datagram.waited_seconds + now - datagram.read_at
         decision = relay_packet(self.state, packet, now, self.rng, waited)
         if isinstance(decision, Forward):
-            out = self.codec.forward(datagram.data, decision.label, decision.token)
-            self.send(out, decision.address, "upstream", now)
+            self.forward(datagram, packet, decision, now)
         elif isinstance(decision, ResetFlow):
             self.reset(packet.caller, packet.front, decision, now)
         elif decision.reason in HELD_REASONS:
@@ -124,15 +126,25 @@
             self.counters.add("packets_dropped", decision.reason)
         self.note(packet, decision, now)
 
-    def send(self, data: bytes, to: tuple[str, int], kind: str, now: float) -> None:
-        """Give a datagram to the link.
-
-        :param kind: names the receiver for the counter of what the kernel refuses.
-        """
-        if send_datagram(self.sock, data, to):
-            self.state.link.give(len(data), now)
-        else:
-            self.counters.add("packets_unsent", kind)
+    def forward(
+        self,
+        datagram: ReceivedDatagram,
+        packet: FlowPacket,
+        decision: Forward,
+        now: float,
+    ) -> None:
+        """Send a packet on to its upstream."""
+        out = self.codec.forward(datagram.data, decision.label, decision.token)
+        self.sender.send(
+            QueuedPacket(
+                flow=packet.caller + packet.front,
+                packet=packet,
+                datagram=out,
+                address=decision.address,
+                queued_at=now,
+                waited=datagram.waited_seconds + now - datagram.read_at,
+            )
+        )
 
     def hold(self, datagram: ReceivedDatagram) -> None:
         """Keep a datagram for a moment; the oldest one gives way."""
@@ -145,7 +157,10 @@
     ) -> None:
         """Tell a caller that its flow is closed."""
         out, to = self.codec.reset(caller, front, decision.sequence)
-        self.send(out, to, "caller", now)
+        if send_datagram(self.sock, out, to):
+            self.state.link.give(len(out), now)
+        else:
+            self.counters.add("packets_unsent", "caller")
         self.counters.add("flows_reset", decision.reason)
 
     def note(
@@ -230,6 +245,7 @@
         group.start_soon(self.sweep)
         group.start_soon(self.watch_lateness)
         group.start_soon(self.report_link)
+        group.start_soon(self.sender.run)
 
     async def drain(self) -> None:
         """Relay on until the fabric sends its packets elsewhere."""
@@ -237,8 +253,9 @@
         while True:
             quiet = replica_clock() - self.received_at
             if quiet >= QUIET_SECONDS:
-                return
+                break
             await anyio.sleep(QUIET_SECONDS - quiet)
+        await self.sender.finish()
 
     async def stop(self) -> None:
         """Close the socket."""
--- a/testing/link_simulation/entries.py
+++ b/testing/link_simulation/entries.py
@@ -4,19 +4,24 @@
 
 from collections.abc import Callable
 
+from chervilstage.coordination.link_schedule import (
+    is_too_late,
+    next_packet,
+    note_given,
+    seconds_to_next,
+    takes_at_once,
+)
 from chervilstage.coordination.relay_directory import put_routing
 from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.state.flow_packets import FlowPacket, Forward, ResetFlow
+from chervilstage.state.link_queue import QueuedPacket
 from chervilstage.state.routing import Routing
 from chervilstage.state.types import UpstreamRecord
 from testing.support.timeline import Action, Timeline
-from testing.support.token_relays import RelayDriver
+from testing.support.token_relays import RelayDriver, make_queued
 
 from .links import SimulatedLink
 
-HEADER_BYTES = 31
-LABEL_BYTES = 8
-
 
 class SimulatedEntry:
     """The relay of an entry, with the clock of the simulation.
@@ -35,6 +40,8 @@
     ) -> None:
         self.timeline = timeline
         self.link = link
+        self.arrivals: dict[QueuedPacket, Action] = {}
+        self.is_waiting = False
         self.driver = RelayDriver(records=records, name=name)
         self.driver.state.link.bytes_per_second = link.bytes_per_second
         put_routing(self.driver.state, routing, timeline.now)
@@ -55,6 +62,34 @@
         if isinstance(decision, ResetFlow):
             refuse()
         elif isinstance(decision, Forward):
-            size = LABEL_BYTES + HEADER_BYTES + packet.size
-            state.link.give(size, now)
-            self.link.send(size, lambda: arrive(decision))
+            queued = make_queued(packet, decision, now)
+            self.arrivals[queued] = lambda: arrive(decision)
+            self.send(queued)
+
+    def send(self, queued: QueuedPacket) -> None:
+        """Send a packet, or keep it until the link has room."""
+        link, now = self.driver.state.link, self.timeline.now
+        if takes_at_once(link, now):
+            self.give(queued)
+        elif not link.queue.add(queued):
+            self.arrivals.pop(queued)
+        elif not self.is_waiting:
+            self.is_waiting = True
+            self.timeline.after(seconds_to_next(link, now), self.give_due)
+
+    def give(self, queued: QueuedPacket) -> None:
+        """Give a packet to the link."""
+        note_given(self.driver.state, queued, self.timeline.now)
+        self.link.send(len(queued.datagram), self.arrivals.pop(queued))
+
+    def give_due(self) -> None:
+        """Give the link the packets that it has room for."""
+        link, now = self.driver.state.link, self.timeline.now
+        while queued := next_packet(link, now):
+            if is_too_late(queued, now):
+                self.arrivals.pop(queued)
+            else:
+                self.give(queued)
+        self.is_waiting = bool(link.queue.flows)
+        if self.is_waiting:
+            self.timeline.after(seconds_to_next(link, now), self.give_due)
--- a/testing/link_simulation/play.py
+++ b/testing/link_simulation/play.py
@@ -11,10 +11,16 @@
 from chervilstage.state.routing import Route, Routing, ServiceShare, TrafficKind
 from chervilstage.state.types import Address
 from testing.support.timeline import STARTED_AT, Timeline
-from testing.support.token_relays import CALLER_HOST, SERVICE, make_record, make_routing
+from testing.support.token_relays import (
+    CALLER_HOST,
+    HEADER_BYTES,
+    SERVICE,
+    make_record,
+    make_routing,
+)
 
 from .attempts import DATA_BYTES, Attempt
-from .entries import HEADER_BYTES, LABEL_BYTES, SimulatedEntry
+from .entries import SimulatedEntry
 from .links import SimulatedLink
 
 FIRST_PORT = 1_024
@@ -132,7 +138,7 @@
 def wire_bytes(size: int) -> int:
     """Return what a request takes of a link if no packet of it is repeated."""
     packets = -(-size // DATA_BYTES)
-    each = LABEL_BYTES + HEADER_BYTES + DATAGRAM_OVERHEAD_BYTES
+    each = HEADER_BYTES + DATAGRAM_OVERHEAD_BYTES
     # The opening packet and the end of the flow carry no data.
     return size + (packets + 2) * each
 
@@ -146,6 +152,8 @@
     """The state of a play."""
 
     def __init__(self, *, seed: int, conditions: Conditions) -> None:
+        # The requests of a seed do not depend on what becomes of them.
+        self.demand = Random(seed)
         self.rng = Random(seed)
         self.conditions = conditions
         self.timeline = Timeline()
@@ -179,10 +187,10 @@
         mean = sum(kind.share * wire_bytes(kind.size) for kind in KINDS)
         requests = conditions.load * conditions.capacity_bytes() / mean
         rate = requests / conditions.seconds
-        at = self.rng.expovariate(rate)
+        at = self.demand.expovariate(rate)
         while at < conditions.seconds:
             self.timeline.after(at, self.begin)
-            at += self.rng.expovariate(rate)
+            at += self.demand.expovariate(rate)
         self.timeline.after(SWEEP_SECONDS, self.sweep)
         self.timeline.play(conditions.seconds + UPLOAD.deadline)
         return Outcome(
@@ -200,10 +208,10 @@
 
     def begin(self) -> None:
         """Start a request of a kind and a size that are drawn."""
-        kind = self.rng.choices(KINDS, [kind.share for kind in KINDS])[0]
+        kind = self.demand.choices(KINDS, [kind.share for kind in KINDS])[0]
         size = kind.size
         if kind is UPLOAD:
-            drawn = self.rng.lognormvariate(-(SIZE_SPREAD**2) / 2, SIZE_SPREAD)
+            drawn = self.demand.lognormvariate(-(SIZE_SPREAD**2) / 2, SIZE_SPREAD)
             size = int(kind.size * min(LARGEST_SIZES, drawn))
         _Caller(play=self, kind=kind, size=size).attempt()
 
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+from chervilstage.coordination.link_schedule import note_given
 from chervilstage.coordination.relay_directory import (
     put_out,
     put_routing,
@@ -11,6 +12,7 @@
 )
 from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.state.flow_packets import FlowPacket, Forward, PacketDecision
+from chervilstage.state.link_queue import QueuedPacket
 from chervilstage.state.routing import (
     Route,
     RoutedService,
@@ -28,6 +30,8 @@
 CALLER_HOST = "100.64.0.1"
 SERVICE = "alley-desk"
 SETTLED_AT = 100.0
+# The label and the header of a packet for an upstream.
+HEADER_BYTES = 39
 
 
 def make_record(
@@ -110,6 +114,20 @@
     )
 
 
+def make_queued(
+    packet: FlowPacket, decision: Forward, now: float, waited: float = 0.0
+) -> QueuedPacket:
+    """Return a packet with a datagram of its size, as a relay gives it to its link."""
+    return QueuedPacket(
+        flow=packet.caller + packet.front,
+        packet=packet,
+        datagram=bytes(HEADER_BYTES + packet.size),
+        address=decision.address,
+        queued_at=now,
+        waited=waited,
+    )
+
+
 def opening_codec(front: Address) -> PacketCodec:
     """Return a codec that takes any bytes for one caller's opening packet."""
     caller = Address(host="127.0.0.1", port=40_001)
@@ -159,7 +177,7 @@
         copy: int = 0,
         waited: float = 0.0,
     ) -> PacketDecision:
-        """Send a packet of a caller, named by its port.
+        """Send a packet of a caller, named by its port, on a link that is free.
 
         :param waited: the seconds that it waited at the entry.
         """
@@ -174,7 +192,11 @@
             token=token,
             copy=copy,
         )
-        return relay_packet(self.state, packet, self.now, self.rng, waited)
+        decision = relay_packet(self.state, packet, self.now, self.rng, waited)
+        if isinstance(decision, Forward):
+            queued = make_queued(packet, decision, self.now, waited)
+            note_given(self.state, queued, self.now)
+        return decision
 
     def open(self, caller: int) -> Forward:
         """Open a flow at the upstream that the relay chooses."""
--- a/testing/transport/test_relay_log.py
+++ b/testing/transport/test_relay_log.py
@@ -105,11 +105,11 @@
     def test_the_line_tells_repeated_data_and_the_lead_over_the_link(self) -> None:
         relay = RelayDriver(records=[make_record(1)])
         link = relay.state.link
-        link.bytes_per_second = 500_000.0
         token = relay.open(40_001).token or 0
+        link.take_traffic()
+        link.bytes_per_second = 500_000.0
         for sequence in (1, 1_201, 1):
             relay.send(40_001, token=token, sequence=sequence, size=1_200)
-            link.give(1_239, relay.now)
         log = RelayLog(counters=Counters())
         log.sent(relay.state, link.take_traffic(), 5.0)
         (line,) = self.lines
