Refuse announcements whose values no target can have, before anyone is told of them

What operators of systems like ours saw: one odd entry among those of the targets, and the machines that read the list ended again and again.

Cause: the text passed the decoder, which asked only for a text, and failed where the record was encoded for the feed and for the file of upstreams, outside of any handler. Zone was checked against nothing. Of the same class, checked too late or not at all: a name of 2 MB is told to every entry over its link; 0.0.0.0, broadcast and multicast addresses, short and hexadecimal ones (one target under two names), ports with underscores or other scripts' digits; a start in the far future or a sequence of 2^63 - 1, after which the calls of the true target count as old for ever. Deep nesting, numbers of 5,000 digits, 1e999, NaN and ports out of range were refused before.

Names are short and printable now, the data centre has to be one of the settings, the address one of a VM. A run may not start more than an hour ahead of the replica's clock or have made more calls than milliseconds have passed. The names of routes and services in a configuration follow the same rule, so that no table holds a service that nobody can announce. Refusals show 80 characters of a value; a value of 2 MB was written to the log in full.

--- a/src/chervilstage/coordination/routing.py
+++ b/src/chervilstage/coordination/routing.py
@@ -5,9 +5,12 @@
 from collections import Counter
 from ipaddress import AddressValueError, IPv4Address
 
+from ..state.names import is_name
 from ..state.routing import Route, Routing
 
 HIGHEST_PORT = 65_535
+# Of a text that is no name.
+SHOWN_CHARACTERS = 80
 
 
 def routing_problems(routing: Routing) -> list[str]:
@@ -24,6 +27,11 @@
         for address, count in places.items()
         if count > 1
     ]
+    problems += [
+        f"services: {_shown(service.name)} is no name"
+        for service in routing.services
+        if not is_name(service.name)
+    ]
     names = Counter(service.name for service in routing.services)
     problems += [
         f"services.{name}: appears {count} times"
@@ -34,9 +42,11 @@
 
 
 def _route_problems(route: Route, services: set[str]) -> list[str]:
+    if not is_name(route.name):
+        return [f"routes: {_shown(route.name)} is no name"]
     key = f"routes.{route.name}"
     problems = [
-        f"{key}: unknown service {share.service}"
+        f"{key}: unknown service {_shown(share.service)}"
         for share in route.shares
         if share.service not in services
     ]
@@ -51,5 +61,9 @@
     try:
         IPv4Address(route.address.host)
     except AddressValueError:
-        problems.append(f"{key}: {route.address.host} is no IPv4 address")
+        problems.append(f"{key}: {_shown(route.address.host)} is no IPv4 address")
     return problems
+
+
+def _shown(name: str) -> str:
+    return name if is_name(name) else ascii(name[:SHOWN_CHARACTERS])
--- a/src/chervilstage/platform/control_calls.py
+++ b/src/chervilstage/platform/control_calls.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import secrets
+import time
 from collections.abc import Awaitable, Callable
 from hashlib import blake2b
 
@@ -26,9 +27,12 @@
 from ..transport.http_connection import HttpRequest, HttpResponse
 from ..transport.log_budget import LogBudget
 from .documents import decode_heartbeat, decode_leave, decode_routing, label_of
+from .settings import MILLISECONDS
 
 OPERATOR = "platform"
 DIGEST_BYTES = 8
+# Of a table with thousands of routes.
+SHOWN_PROBLEMS = 20
 STATUS_OK = 200
 STATUS_INVALID = 400
 STATUS_NOT_FOUND = 404
@@ -111,7 +115,7 @@
         routing = decode_routing(body)
         problems = routing_problems(routing)
         if problems:
-            raise RoutingInvalidError(problems=problems)
+            raise RoutingInvalidError(problems=problems[:SHOWN_PROBLEMS])
         digest = blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
         change = _make_change(f"routing-{routing.version}-{digest}")
         document = RoutingDocument(version=routing.version, content=body)
@@ -162,7 +166,9 @@
 
     async def heartbeat(self, label: str, request: HttpRequest) -> bytes:
         """Take a target's announcement."""
-        await self.feed.announce(decode_heartbeat(label, request.body))
+        record = decode_heartbeat(label, request.body, int(time.time() * MILLISECONDS))
+        self.known(record.data_centre)
+        await self.feed.announce(record)
         return EMPTY_OBJECT
 
     async def leave(self, label: str, request: HttpRequest) -> bytes:
--- a/src/chervilstage/platform/documents.py
+++ b/src/chervilstage/platform/documents.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
-from ..errors import ChervilstageError
 from ..errors.configuration import RoutingInvalidError
 from ..errors.platform import FieldError
 from ..errors.upstreams import AnnouncementError
-from ..protocol.json_fields import count_of, number_of, text_of
+from ..protocol.json_fields import (
+    MALFORMED,
+    address_of,
+    count_of,
+    name_of,
+    number_of,
+    port_of,
+    reason_of,
+    text_of,
+)
 from ..state.configuration import RoutingDocument
 from ..state.routing import (
     Route,
@@ -19,7 +28,7 @@
     TrafficKind,
 )
 from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
-from .settings import MILLISECONDS, parse_address
+from .settings import MILLISECONDS
 
 KINDS = {
     "safe": TrafficKind.IDEMPOTENT,
@@ -28,15 +37,11 @@
 }
 PHASES = {"ready": UpstreamPhase.READY, "draining": UpstreamPhase.LEAVING}
 LABEL_BITS = 64
+LONGEST_ID = 80
 MAXIMUM_SLOTS = 10_000
-MALFORMED = (
-    ChervilstageError,
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    RecursionError,
-)
+# The clocks of VMs differ, by seconds as a rule.
+CLOCK_DIFFERENCE_MS = 3_600_000
+LABEL = re.compile(r"(?:.*-)?([0-9a-f]+)", re.IGNORECASE | re.ASCII)
 
 
 def decode_routing(content: bytes) -> Routing:
@@ -47,7 +52,7 @@
     try:
         return _routing(json.loads(content))
     except MALFORMED as error:
-        raise RoutingInvalidError(problems=[_shown(error)]) from error
+        raise RoutingInvalidError(problems=[reason_of(error)]) from error
 
 
 def decode_accepted(document: RoutingDocument) -> Routing:
@@ -55,16 +60,24 @@
     return decode_routing(document.content)
 
 
-def decode_heartbeat(label: str, body: bytes) -> UpstreamRecord:
+def decode_heartbeat(label: str, body: bytes, now_ms: int) -> UpstreamRecord:
     """Decode what a target says of itself.
 
+    A run that starts later or has sent more calls than any target can would hide the
+    calls of the true one.
+
     :param label: the target's id in the path of the call.
-    :raises AnnouncementError: fields are missing, malformed or unknown.
+    :param now_ms: the time of day in Unix milliseconds.
+    :raises AnnouncementError: fields are missing, malformed, unknown or impossible.
     """
     try:
-        return _record(label_of(label), json.loads(body))
+        record = _record(label_of(label), json.loads(body))
+        running_ms = now_ms + CLOCK_DIFFERENCE_MS - record.identity.incarnation
+        if not record.sequence <= running_ms:
+            raise FieldError(value=record.sequence, reason="more calls than time")
+        return record
     except MALFORMED as error:
-        raise AnnouncementError(reason=_shown(error)) from error
+        raise AnnouncementError(reason=reason_of(error)) from error
 
 
 def decode_leave(body: bytes) -> int | None:
@@ -75,7 +88,7 @@
     try:
         return count_of(json.loads(body).get("born", 0)) or None if body else None
     except MALFORMED as error:
-        raise AnnouncementError(reason=_shown(error)) from error
+        raise AnnouncementError(reason=reason_of(error)) from error
 
 
 def label_of(text: str) -> int:
@@ -83,13 +96,10 @@
 
     :raises AnnouncementError: the id has none, or too many.
     """
-    digits = text.rpartition("-")[2]
-    try:
-        label = int(digits, 16)
-    except ValueError as error:
-        raise AnnouncementError(reason=f"id {text!r} has no hex digits") from error
+    found = LABEL.fullmatch(text)
+    label = int(found[1], 16) if found else 0
     if not 0 < label < 1 << LABEL_BITS:
-        raise AnnouncementError(reason=f"id {text!r} is out of range")
+        raise AnnouncementError(reason=f"id {text[:LONGEST_ID]!r} is out of range")
     return label
 
 
@@ -115,7 +125,8 @@
     return Route(
         name=text_of(item["Name"]),
         address=Address(
-            host=text_of(item["Host"]), port=int(text_of(item["PathPrefix"]).strip("/"))
+            host=text_of(item["Host"]),
+            port=port_of(text_of(item["PathPrefix"]).strip("/")),
         ),
         kind=KINDS[item["Kind"]],
         timeout_seconds=number_of(item["TimeoutMs"]) / MILLISECONDS,
@@ -137,8 +148,8 @@
 
 def _record(label: int, document: dict[str, Any]) -> UpstreamRecord:
     """Return a target's record; ``born`` is when it started."""
-    text_of(document["Version"])  # That of its software, which is not used.
-    address = parse_address(text_of(document["Address"]))
+    name_of(document["Version"])  # That of its software, which is not used.
+    address = address_of(document["Address"])
     slots = count_of(document["Slots"])
     if not 0 < slots <= MAXIMUM_SLOTS:
         raise FieldError(value=slots, reason="no number of slots")
@@ -146,10 +157,10 @@
         identity=UpstreamId(
             address=address,
             incarnation=count_of(document["born"]),
-            service=text_of(document["Service"]),
+            service=name_of(document["Service"]),
         ),
         request_address=address,
-        data_centre=text_of(document["Zone"]),
+        data_centre=name_of(document["Zone"]),
         sequence=count_of(document["Sequence"]),
         phase=PHASES[document["State"]],
         slots=slots,
@@ -157,7 +168,3 @@
         label=label,
         cold_seconds=number_of(document["ColdRemainingMs"]) / MILLISECONDS,
     )
-
-
-def _shown(error: BaseException) -> str:
-    return f"{type(error).__name__}: {error}"
--- a/testing/platform/test_documents.py
+++ b/testing/platform/test_documents.py
@@ -66,6 +66,7 @@
     "Sequence": 4,
     "born": 1782625681850,
 }
+NOW_MS = HEARTBEAT["born"] + 60_000
 ANY_JSON = recursive(
     one_of(none(), integers(), floats(), text()),
     lambda inner: one_of(lists(inner, max_size=3), dictionaries(text(), inner)),
@@ -133,7 +134,7 @@
 
 def test_heartbeat_becomes_a_record() -> None:
     """Guards against packets that name another target than the one meant."""
-    record = decode_heartbeat("i-7f3a91c2", encode(HEARTBEAT))
+    record = decode_heartbeat("i-7f3a91c2", encode(HEARTBEAT), NOW_MS)
     assert record.identity.address == Address(host="10.128.0.9", port=8080)
     assert record.identity.incarnation == 1782625681850
     assert record.label == 0x7F3A91C2
@@ -147,7 +148,7 @@
     """Guards against heartbeats of another writer."""
     document = {key: value for key, value in HEARTBEAT.items() if key != field}
     with pytest.raises(AnnouncementError):
-        decode_heartbeat("i-7f3a91c2", encode(document))
+        decode_heartbeat("i-7f3a91c2", encode(document), NOW_MS)
 
 
 @pytest.mark.parametrize("version", [None, 1, True])
@@ -157,7 +158,7 @@
     if version is None:
         del document["Version"]
     with pytest.raises(AnnouncementError):
-        decode_heartbeat("i-7f3a91c2", encode(document))
+        decode_heartbeat("i-7f3a91c2", encode(document), NOW_MS)
 
 
 @pytest.mark.parametrize(
@@ -180,7 +181,7 @@
 def test_heartbeat_with_other_values_names_no_target(changes: dict[str, Any]) -> None:
     """Guards against heartbeats of another writer."""
     with pytest.raises(AnnouncementError):
-        decode_heartbeat("i-7f3a91c2", encode({**HEARTBEAT, **changes}))
+        decode_heartbeat("i-7f3a91c2", encode({**HEARTBEAT, **changes}), NOW_MS)
 
 
 @pytest.mark.parametrize(
@@ -209,7 +210,7 @@
 def test_any_json_is_read_or_refused(document: Any, field: str) -> None:
     """Guards against bodies that end the process."""
     for body in (encode(document), encode({**HEARTBEAT, field: document})):
-        for decode in (decode_routing, lambda b: decode_heartbeat("i-1", b)):
+        for decode in (decode_routing, lambda b: decode_heartbeat("i-1", b, NOW_MS)):
             try:
                 decode(body)
             except ChervilstageError:
--- /dev/null
+++ b/testing/support/platform_fleet.py
@@ -0,0 +1,90 @@
+"""Control daemons and entries of the users' platform as processes."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from pathlib import Path
+from typing import Any
+
+from .processes import Processes, Started, unique_host, wait_until
+
+CONTROL_PORT = 8166
+READY_PORT = 8167
+PACKETS_PORT = 8172
+INTERNAL_PORTS = [7720, 7735]
+SETTINGS_VARIABLE = "CHERVILSTAGE_NODE_FILE"
+CALL_SECONDS = 2.0
+
+
+class PlatformFleet:
+    """One control daemon and one entry on loopback addresses of their own.
+
+    :param folder: where settings, logs and data go.
+    """
+
+    def __init__(self, *, folder: Path) -> None:
+        self.folder = folder
+        self.processes = Processes(folder=folder)
+        self.hosts = {"control": unique_host(), "entry": unique_host()}
+
+    def settings(self, role: str) -> dict[str, Any]:
+        """Return the settings file of a role."""
+        host = self.hosts[role]
+        listen = (
+            {"Control": f"{host}:{CONTROL_PORT}"}
+            if role == "control"
+            else {
+                "DatagramAddress": f"{host}:{PACKETS_PORT}",
+                "Ready": f"{host}:{READY_PORT}",
+            }
+        )
+        folder = self.folder / f"data-{role}"
+        folder.mkdir(exist_ok=True)
+        return {
+            "NodeName": role,
+            "IpAddress": host,
+            "Zone": "gl-erie",
+            "Zones": {"gl-erie": "great-lakes"},
+            "Listen": listen,
+            "InternalPorts": INTERNAL_PORTS,
+            "Seeds": [f"{self.hosts['control']}:{CONTROL_PORT}"],
+            "Bootstrap": True,
+            "Limits": {"LinkMbps": 4.0},
+            "DataDirectory": str(folder) if role == "control" else None,
+            "HeartbeatIntervalMs": 1200,
+            "Tolerance": {"Machines": 0, "Zones": 0, "Regions": 0},
+            "Bounds": {"GraceS": 6},
+        }
+
+    def start(self, role: str) -> Started:
+        """Start a role."""
+        path = self.folder / f"{role}.json"
+        path.write_text(json.dumps(self.settings(role)))
+        return self.processes.start_module(
+            role,
+            "chervilstage.platform",
+            [role],
+            variables={SETTINGS_VARIABLE: str(path)},
+        )
+
+    def call(self, path: str, body: bytes) -> int:
+        """Send a call to the control daemon and return the status, 0 for none."""
+        connection = http.client.HTTPConnection(
+            self.hosts["control"], CONTROL_PORT, timeout=CALL_SECONDS
+        )
+        try:
+            connection.request("POST", path, body=body)
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+
+    def wait_accepted(self, path: str, body: bytes) -> None:
+        """Repeat a call until it is accepted."""
+        wait_until(lambda: self.call(path, body) == 200, f"{path} is accepted")
+
+    def close(self) -> None:
+        """End all processes."""
+        self.processes.close()
--- a/testing/support/processes.py
+++ b/testing/support/processes.py
@@ -9,8 +9,9 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
+from types import MappingProxyType
 from typing import NamedTuple
 
 import tomli_w
@@ -83,13 +84,23 @@
 
     def start(self, name: str, program: str, arguments: Sequence[str]) -> Started:
         """Start a program of the package and keep its log under its name."""
+        return self.start_module(name, f"chervilstage.programs.{program}", arguments)
+
+    def start_module(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str],
+        variables: Mapping[str, str] = MappingProxyType({}),
+    ) -> Started:
+        """Start a module as a program and keep its log under its name."""
         log = self.folder / f"{name}-{len(self.started)}.log"
         with log.open("wb") as sink:
             process = subprocess.Popen(
-                [sys.executable, "-m", f"chervilstage.programs.{program}", *arguments],
+                [sys.executable, "-m", module, *arguments],
                 stdout=sink,
                 stderr=sink,
-                env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}"},
+                env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}", **variables},
             )
         started = Started(name=name, process=process, log=log)
         self.started.append(started)
