Read the rest of a list when one record is unreadable, and fail by type on a text that is none

Two faults, each shown by tests that failed before:

- Seven decoders of messages between our processes, the envelope of every frame among them, let the raw decoding error of a text through.
Handlers expect typed errors only, so one such message ended the process that received it.
- One record that cannot be read made the whole answer of the feed, the whole file of upstreams, or the whole list of a peer unreadable: an entry would have asked the same replica for ever.
Items are read one by one; those that cannot be read are counted, logged and left out.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -215,7 +215,7 @@
 
 
 def _receive(records: list[UpstreamRecord]) -> Any:
-    return registry_of(decode_records(encode_records(records)))
+    return registry_of(decode_records(encode_records(records))[0])
 
 
 def main() -> None:
--- a/src/chervilstage/protocol/capacity_messages.py
+++ b/src/chervilstage/protocol/capacity_messages.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from ..state.leases import AskItem, GrantItem
-from .schemas import pack, schema, unpack
+from .schemas import pack, reading, schema, unpack
 
 
 def encode_ask(number: int, items: Sequence[AskItem]) -> bytes:
@@ -15,6 +15,7 @@
     return pack(message)
 
 
+@reading()
 def decode_ask(data: bytes) -> tuple[int, list[AskItem]]:
     """Decode an ask into its number and items.
 
@@ -32,6 +33,7 @@
     return pack(message)
 
 
+@reading()
 def decode_grants(data: bytes) -> list[GrantItem]:
     """Decode grants.
 
--- a/src/chervilstage/protocol/envelope.py
+++ b/src/chervilstage/protocol/envelope.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from ..errors.access import EnvelopeTagError
-from .schemas import pack, schema, unpack
+from .schemas import pack, reading, schema, unpack
 
 TAG_BYTES = 16
 
@@ -29,6 +29,7 @@
     return _tag(packed, key) + packed
 
 
+@reading()
 def decode_envelope(data: bytes, key: bytes) -> Envelope:
     """Check the tag of an envelope and decode it.
 
--- a/src/chervilstage/protocol/explanation_messages.py
+++ b/src/chervilstage/protocol/explanation_messages.py
@@ -6,7 +6,7 @@
 
 from ..coordination.flow_explanation import FlowExplanation
 from ..state.types import Address
-from .schemas import pack, schema, unpack
+from .schemas import pack, reading, schema, unpack
 
 
 class FlowQuery(NamedTuple):
@@ -25,6 +25,7 @@
     )
 
 
+@reading()
 def decode_flow_query(data: bytes) -> FlowQuery:
     """Decode a question.
 
@@ -51,6 +52,7 @@
     )
 
 
+@reading()
 def decode_explanation(data: bytes) -> FlowExplanation:
     """Decode an explanation.
 
--- a/src/chervilstage/protocol/feed_messages.py
+++ b/src/chervilstage/protocol/feed_messages.py
@@ -8,7 +8,7 @@
 from ..state.upstream_feed import FeedAnswer, FeedItem, FeedQuery
 from .control_messages import place_fields, read_place
 from .replica_members import member_fields, read_members
-from .schemas import pack, reading, schema, unpack
+from .schemas import pack, read_list, reading, schema, unpack
 from .upstream_messages import read_record, write_record
 
 
@@ -68,6 +68,7 @@
     """
     with reading():
         message = unpack(schema("feed").FeedAnswer, data)
+        items, unread = read_list(_read_item, message.items)
         return FeedAnswer(
             run=message.run,
             cursor=message.cursor,
@@ -75,7 +76,8 @@
             is_current=message.isCurrent,
             routing_version=message.routingVersion,
             out=frozenset(message.out),
-            items=tuple(_read_item(item) for item in message.items),
+            items=tuple(items),
+            unread=unread,
             replicas=read_members(message.replicas),
             entries=tuple(message.entries),
         )
@@ -88,14 +90,14 @@
     return pack(message)
 
 
-def decode_saved_upstreams(data: bytes) -> tuple[FeedItem, ...]:
-    """Decode upstreams of a file.
+def decode_saved_upstreams(data: bytes) -> tuple[list[FeedItem], int]:
+    """Decode upstreams of a file, and count those that cannot be read.
 
     :raises EnvelopeFormatError: the bytes are no saved upstreams.
     """
     with reading():
         message = unpack(schema("feed").SavedUpstreams, data)
-        return tuple(_read_item(item) for item in message.items)
+        return read_list(_read_item, message.items)
 
 
 def _write_items(message: Any, items: Sequence[FeedItem]) -> None:
--- a/src/chervilstage/protocol/flow_messages.py
+++ b/src/chervilstage/protocol/flow_messages.py
@@ -25,7 +25,7 @@
 from ..state.types import Address, UpstreamId
 from ..state.view import BUCKETS, FINGERPRINT_BITS, FINGERPRINT_MASK, ViewId
 from .kinds import Kind
-from .schemas import pack, schema, unpack
+from .schemas import pack, reading, schema, unpack
 
 NO_BUCKET = 0xFFFF
 
@@ -87,6 +87,7 @@
             return pack(built)
 
 
+@reading()
 def decode_flow_message(kind: Kind, data: bytes) -> FlowMessage:
     """Decode a message.
 
--- a/src/chervilstage/protocol/membership_messages.py
+++ b/src/chervilstage/protocol/membership_messages.py
@@ -4,7 +4,7 @@
 
 from ..state.members import Heartbeat, MemberReport
 from ..state.view import ViewId
-from .schemas import pack, schema, unpack
+from .schemas import pack, reading, schema, unpack
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -25,6 +25,7 @@
     )
 
 
+@reading()
 def decode_heartbeat(data: bytes) -> Heartbeat:
     """Decode a heartbeat.
 
--- a/src/chervilstage/protocol/schemas.py
+++ b/src/chervilstage/protocol/schemas.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from functools import cache
 from importlib.resources import as_file, files
-from typing import Any
+from typing import Any, TypeVar
 
 import capnp
 
@@ -18,6 +18,8 @@
 # Also bounds what a small packed message may unpack to: 32 MiB, twice a frame.
 TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
 
+T = TypeVar("T")
+
 
 @cache
 def schema(name: str) -> Any:
@@ -62,6 +64,21 @@
         raise EnvelopeFormatError(reason=reason) from error
 
 
+def read_list(read: Callable[[Any], T], items: Iterable[Any]) -> tuple[list[T], int]:
+    """Return what can be read of a list, and how many of its items cannot.
+
+    One item of another writer does not hide the others.
+    """
+    found = []
+    unread = 0
+    for item in items:
+        try:
+            found.append(read(item))
+        except UNREADABLE:
+            unread += 1
+    return found, unread
+
+
 def unpack(struct: Any, data: bytes) -> Any:
     """Decode a packed message.
 
--- a/src/chervilstage/protocol/upstream_messages.py
+++ b/src/chervilstage/protocol/upstream_messages.py
@@ -8,7 +8,7 @@
 from ..state.registry import has_left, is_leaving
 from ..state.spread import DigestItem, SilentRecord
 from ..state.types import Address, UpstreamId, UpstreamPhase, UpstreamRecord
-from .schemas import pack, schema, unpack
+from .schemas import pack, read_list, reading, schema, unpack
 
 
 def encode_records(records: Sequence[UpstreamRecord]) -> bytes:
@@ -20,13 +20,14 @@
     return pack(message)
 
 
-def decode_records(data: bytes) -> list[UpstreamRecord]:
-    """Decode upstream records.
+@reading()
+def decode_records(data: bytes) -> tuple[list[UpstreamRecord], int]:
+    """Decode upstream records, and count those that cannot be read.
 
     :raises EnvelopeFormatError: the bytes are not upstream records.
     """
     message = unpack(schema("upstreams").UpstreamRecords, data)
-    return [read_record(item) for item in message.records]
+    return read_list(read_record, message.records)
 
 
 def encode_silent(records: Sequence[SilentRecord]) -> bytes:
@@ -39,16 +40,14 @@
     return pack(message)
 
 
-def decode_silent(data: bytes) -> list[SilentRecord]:
-    """Decode the records of silent upstreams.
+@reading()
+def decode_silent(data: bytes) -> tuple[list[SilentRecord], int]:
+    """Decode the records of silent upstreams, and count those that cannot be read.
 
     :raises EnvelopeFormatError: the bytes are not such records.
     """
     message = unpack(schema("upstreams").SilentUpstreams, data)
-    return [
-        SilentRecord(record=read_record(item.record), seconds=item.seconds)
-        for item in message.records
-    ]
+    return read_list(_read_silent, message.records)
 
 
 def encode_digest(items: Sequence[DigestItem]) -> bytes:
@@ -65,6 +64,7 @@
     return pack(message)
 
 
+@reading()
 def decode_digest(data: bytes) -> list[DigestItem]:
     """Decode a digest.
 
@@ -91,6 +91,7 @@
     return pack(message)
 
 
+@reading()
 def decode_fetch(data: bytes) -> list[int]:
     """Decode a request for records.
 
@@ -115,6 +116,10 @@
     item.coldSeconds = record.cold_seconds
 
 
+def _read_silent(item: Any) -> SilentRecord:
+    return SilentRecord(record=read_record(item.record), seconds=item.seconds)
+
+
 def _phase(item: Any) -> UpstreamPhase:
     if item.left:
         return UpstreamPhase.LEFT
--- a/src/chervilstage/state/upstream_feed.py
+++ b/src/chervilstage/state/upstream_feed.py
@@ -46,6 +46,7 @@
     ``is_current`` tells that the replica follows a leader that has a majority, so its
     configuration is at most a moment old. ``routing_version`` (0 if there is no table)
     and ``out`` belong to ``revision``; the table itself is fetched from one replica.
+    ``unread`` counts the items that cannot be read.
     """
 
     run: int
@@ -57,6 +58,7 @@
     items: tuple[FeedItem, ...]
     replicas: tuple[ReplicaMember, ...]
     entries: tuple[str, ...]
+    unread: int = 0
 
 
 class Follower(NamedTuple):
--- a/src/chervilstage/transport/feed_follower.py
+++ b/src/chervilstage/transport/feed_follower.py
@@ -90,7 +90,7 @@
     async def follow(self, address: Address, scope: anyio.CancelScope) -> None:
         """Ask one replica until cancelled."""
         run, cursor = 0, 0
-        is_lost = False
+        is_lost, unread = False, 0
         with scope:
             while True:
                 query = FeedQuery(
@@ -114,6 +114,9 @@
                 if is_lost or not run:
                     _log(address, "replica_heard", logging.INFO, run=answer.run)
                 is_lost = False
+                if answer.unread and not unread:
+                    _log(address, "feed_unread", logging.WARNING, items=answer.unread)
+                unread = answer.unread
                 run, cursor = answer.run, answer.cursor
                 self.heard_at[run] = replica_clock()
                 self.note(answer)
--- a/src/chervilstage/transport/registration.py
+++ b/src/chervilstage/transport/registration.py
@@ -127,7 +127,8 @@
 
     def receive_records(self, sender: str, body: bytes) -> None:
         """Merge the records of a peer."""
-        records = decode_records(body)
+        records, unread = decode_records(body)
+        self.note_unread(sender, unread)
         now = anyio.current_time()
         with self.changes_logged(records):
             effects = receive_records(self.registry, self.spread, sender, records, now)
@@ -150,7 +151,17 @@
 
     def receive_silent(self, sender: str, body: bytes) -> None:
         """Keep the records of upstreams that a peer does not hear."""
-        receive_silent(self.registry, decode_silent(body), anyio.current_time())
+        records, unread = decode_silent(body)
+        self.note_unread(sender, unread)
+        receive_silent(self.registry, records, anyio.current_time())
+
+    def note_unread(self, sender: str, unread: int) -> None:
+        """Count and log records of a peer that cannot be read."""
+        if unread:
+            self.counters.add("upstream_records_unread", sender, unread)
+            log_event(
+                "records_unread", level=logging.WARNING, peer=sender, count=unread
+            )
 
     def on_member_event(self, event: MemberEvent) -> None:
         """Tell an entry that joins or restarts what there is to fetch."""
--- a/src/chervilstage/transport/upstream_store.py
+++ b/src/chervilstage/transport/upstream_store.py
@@ -59,11 +59,11 @@
         path = self.folder / FILE
         try:
             content = whole_record(path.read_bytes(), str(path))
-            items = decode_saved_upstreams(content)
+            items, unread = decode_saved_upstreams(content)
         except FileNotFoundError:
             return []
         except (OSError, ChervilstageError) as error:
             log_event("upstreams_unread", level=logging.WARNING, reason=error)
             return []
-        log_event("upstreams_loaded", count=len(items))
+        log_event("upstreams_loaded", count=len(items), unread=unread)
         return [item._replace(age_seconds=0.0) for item in items]
--- a/testing/protocol/test_fuzz_decoders.py
+++ b/testing/protocol/test_fuzz_decoders.py
@@ -5,6 +5,7 @@
 import inspect
 import pkgutil
 from collections.abc import Callable
+from hashlib import blake2b
 from importlib import import_module
 from typing import Any
 
@@ -13,8 +14,15 @@
 
 from chervilstage import protocol
 from chervilstage.errors import ChervilstageError
-from chervilstage.protocol.envelope import Envelope, decode_envelope, encode_envelope
+from chervilstage.errors.access import EnvelopeFormatError
+from chervilstage.protocol.envelope import (
+    TAG_BYTES,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+)
 from chervilstage.protocol.kinds import Kind
+from testing.support.odd_messages import damaged_messages
 
 KEY = b"k" * 32
 
@@ -58,6 +66,41 @@
     decode(decoder, data)
 
 
+def structs_of(
+    decoder: Callable[..., Any], monkeypatch: pytest.MonkeyPatch
+) -> list[Any]:
+    """Return the structs of messages that a decoder unpacks."""
+    found: list[Any] = []
+    module = import_module(decoder.__module__)
+
+    def unpack(struct: Any, data: bytes) -> Any:
+        """Keep the struct and fail as for a damaged message."""
+        found.append(struct)
+        raise EnvelopeFormatError(reason="not read")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(module, "unpack", unpack, raising=False)
+        decode(decoder, sealed(decoder, b"x" * 40))
+    return found
+
+
+def sealed(decoder: Callable[..., Any], data: bytes) -> bytes:
+    """Return a message with the tag that a decoder checks, if it checks one."""
+    is_tagged = "key" in inspect.signature(decoder).parameters
+    tag = blake2b(data, key=KEY, digest_size=TAG_BYTES).digest()
+    return tag + data if is_tagged else data
+
+
+@pytest.mark.parametrize("decoder", decoders(), ids=lambda d: d.__name__)
+def test_a_text_that_is_no_text_raises_a_typed_error(
+    decoder: Callable[..., Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one odd text that ends the process that receives it."""
+    for struct in structs_of(decoder, monkeypatch):
+        for data in damaged_messages(struct):
+            decode(decoder, sealed(decoder, data))
+
+
 @given(flips=st.lists(st.tuples(st.integers(0, 10_000), st.integers(1, 255))))
 def test_changed_envelope_is_refused(flips: list[tuple[int, int]]) -> None:
     """Guards against a tag that does not cover the whole message."""
--- a/testing/protocol/test_upstream_messages.py
+++ b/testing/protocol/test_upstream_messages.py
@@ -85,14 +85,14 @@
         records = [
             record_of(n, sequence=n + 7, leaving=n == 1, left=n == 2) for n in range(3)
         ]
-        self.assertThat(decode_records(encode_records(records)), Equals(records))
+        self.assertThat(decode_records(encode_records(records)), Equals((records, 0)))
 
     def test_silent_records_round_trip(self) -> None:
         records = [
             SilentRecord(record=record_of(n, left=n == 1), seconds=n + 0.5)
             for n in range(3)
         ]
-        self.assertThat(decode_silent(encode_silent(records)), Equals(records))
+        self.assertThat(decode_silent(encode_silent(records)), Equals((records, 0)))
 
     @given(st.binary(max_size=60))
     def test_foreign_bytes_are_refused_or_decoded(self, data: bytes) -> None:
--- /dev/null
+++ b/testing/support/odd_messages.py
@@ -0,0 +1,50 @@
+"""Messages between our processes in which every text is damaged."""
+
+from __future__ import annotations
+
+from typing import Any
+
+# Long enough to be found in a message, and in no other field.
+MARK = "unreadable-here"
+NO_TEXT = b"\xff" * len(MARK)
+
+
+def damage(struct: Any, packed: bytes) -> bytes:
+    """Return a packed message whose marked texts are no texts any more."""
+    data = struct.from_bytes_packed(packed).as_builder().to_bytes()
+    damaged = data.replace(MARK.encode(), NO_TEXT)
+    with struct.from_bytes(damaged) as message:
+        packed_again: bytes = message.as_builder().to_bytes_packed()
+    return packed_again
+
+
+def damaged_messages(struct: Any) -> list[bytes]:
+    """Return packed messages of a struct with one damaged text each."""
+    return [
+        damage(struct, struct.new_message(**fields).to_bytes_packed())
+        for fields in _fields_with_text(struct.schema)
+    ]
+
+
+def _fields_with_text(schema: Any) -> list[dict[str, Any]]:
+    found = []
+    for name, field in schema.fields.items():
+        if field.proto.which() != "slot":
+            continue
+        kind = field.proto.slot.type.which()
+        if kind == "text":
+            found.append({name: MARK})
+        elif kind == "struct":
+            found += [{name: inner} for inner in _fields_with_text(field.schema)]
+        elif kind == "list":
+            found += [{name: [inner]} for inner in _elements_with_text(field)]
+    return found
+
+
+def _elements_with_text(field: Any) -> list[Any]:
+    element = field.proto.slot.type.list.elementType.which()
+    if element == "text":
+        return [MARK]
+    if element == "struct":
+        return _fields_with_text(field.schema.elementType)
+    return []
