Use the other seeds when one is odd, and outlive settings that are nested too deeply

A daemon reads its settings again while it finds no replica. Nesting too deep for the parser raised an error that nobody handled and ended the daemon; one seed that is no address made the whole file unreadable, so that a daemon did not start or never heard of new seeds. Both are shown by tests that failed before.

Seeds are read one by one and the odd ones counted and logged; a file without any readable seed is refused as before. Numbers of another kind are refused by name instead of failing later.

--- a/src/chervilstage/platform/settings.py
+++ b/src/chervilstage/platform/settings.py
@@ -4,27 +4,26 @@
 
 import json
 import os
+from contextlib import suppress
 from math import inf
 from pathlib import Path
-from socket import inet_aton
 from typing import Any, NamedTuple
 
-from ..errors import ChervilstageError
 from ..errors.platform import FieldError
 from ..errors.settings import DocumentError, FileUnreadableError
-from ..protocol.json_fields import number_of
+from ..protocol.json_fields import MALFORMED, address_of, count_of, number_of, reason_of
 from ..state.types import Address
 
 SETTINGS_VARIABLE = "CHERVILSTAGE_NODE_FILE"
 MILLISECONDS = 1000.0
 BYTES_PER_MEGABIT = 125_000
-HIGHEST_PORT = 65_535
 
 
 class NodeSettings(NamedTuple):
     """What the platform says to a process.
 
-    ``seeds`` are hosts of control replicas. ``internal_port`` is the first port for
+    ``seeds`` are hosts of control replicas, ``unread_seeds`` counts those that cannot
+    be read. ``internal_port`` is the first port for
     messages between our processes; the two roles of a VM use different ones.
     ``may_form`` is true only when the whole system starts for the first time.
     ``tolerated_vms`` is how many VMs with a disk may be lost at once. ``stop_seconds``
@@ -38,6 +37,7 @@
     host: str
     internal_port: int
     seeds: tuple[str, ...]
+    unread_seeds: int
     may_form: bool
     tolerated_vms: int
     stop_seconds: float
@@ -65,46 +65,25 @@
         return _settings(document)
     except OSError as error:
         raise FileUnreadableError(file=path, reason=error) from error
-    except (
-        ChervilstageError,
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-    ) as error:
-        problem = f"{type(error).__name__}: {error}"
-        raise DocumentError(file=str(path), problems=[problem]) from error
-
-
-def parse_address(text: str) -> Address:
-    """Return the address of ``HOST:PORT``.
-
-    :raises FieldError: the text is no IPv4 address with a port.
-    """
-    host, _, port = text.rpartition(":")
-    try:
-        inet_aton(host)
-        number = int(port)
-    except (OSError, ValueError) as error:
-        raise FieldError(value=text, reason="no address with a port") from error
-    if not 0 < number <= HIGHEST_PORT:
-        raise FieldError(value=text, reason="no such port")
-    return Address(host=host, port=number)
+    except MALFORMED as error:
+        raise DocumentError(file=str(path), problems=[reason_of(error)]) from error
 
 
 def _settings(document: dict[str, Any]) -> NodeSettings:
     listen, bounds = document["Listen"], document["Bounds"]
+    seeds, unread_seeds = _seeds(document["Seeds"])
     return NodeSettings(
         name=document["NodeName"],
         data_centre=document["Zone"],
         data_centres=frozenset(document["Zones"]),
         host=document["IpAddress"],
-        internal_port=document["InternalPorts"][0],
-        seeds=tuple(parse_address(seed).host for seed in document["Seeds"]),
+        internal_port=count_of(document["InternalPorts"][0]),
+        seeds=seeds,
+        unread_seeds=unread_seeds,
         may_form=document["Bootstrap"],
-        tolerated_vms=document["Tolerance"]["Machines"],
-        stop_seconds=bounds["GraceS"],
-        announcement_seconds=document["HeartbeatIntervalMs"] / MILLISECONDS,
+        tolerated_vms=count_of(document["Tolerance"]["Machines"]),
+        stop_seconds=number_of(bounds["GraceS"]),
+        announcement_seconds=number_of(document["HeartbeatIntervalMs"]) / MILLISECONDS,
         data_folder=document.get("DataDirectory") or "",
         packets=_address(listen, "DatagramAddress"),
         readiness=_address(listen, "Ready"),
@@ -113,6 +92,20 @@
     )
 
 
+def _seeds(texts: list[Any]) -> tuple[tuple[str, ...], int]:
+    """Return the hosts of seeds, and count those that cannot be read.
+
+    :raises FieldError: none can.
+    """
+    hosts = []
+    for text in texts:
+        with suppress(FieldError):
+            hosts.append(address_of(text).host)
+    if texts and not hosts:
+        raise FieldError(value=len(texts), reason="no seed can be read")
+    return tuple(hosts), len(texts) - len(hosts)
+
+
 def _link_rate(limits: dict[str, Any]) -> float:
     """Return the rate of the VM's own link in bytes a second.
 
@@ -127,7 +120,7 @@
 
 
 def _address(listen: dict[str, Any], key: str) -> Address | None:
-    return parse_address(listen[key]) if listen.get(key) else None
+    return address_of(listen[key]) if listen.get(key) else None
 
 
 def required(address: Address | None, key: str) -> Address:
--- a/src/chervilstage/platform/shared.py
+++ b/src/chervilstage/platform/shared.py
@@ -59,7 +59,10 @@
         """Return the addresses of the last whole settings file."""
         nonlocal known
         try:
-            known = replica_addresses(read_settings(path))
+            newest = read_settings(path)
+            known = replica_addresses(newest)
+            if count := newest.unread_seeds:
+                log_event("seeds_unread", level=logging.WARNING, count=count)
         except ChervilstageError as error:
             log_event(
                 "settings_unread",
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -100,6 +100,45 @@
     assert listed() == changed
 
 
+def test_one_odd_seed_does_not_hide_the_others(tmp_path: Path) -> None:
+    """Guards against a daemon that finds no replica, or does not start."""
+    for odd in ("nowhere", "10.1.0.12:99999", "\ud800:1", "", 7, None, [[]]):
+        seeds = [odd, *DOCUMENT["Seeds"]]
+        settings = read_settings(write(tmp_path, {**DOCUMENT, "Seeds": seeds}))
+        assert settings.seeds == ("10.1.0.12", "10.2.0.41")
+        assert settings.unread_seeds == 1
+
+
+ODD_VALUES: list[dict[str, Any]] = [
+    {"HeartbeatIntervalMs": "1200"},
+    {"HeartbeatIntervalMs": 1e999},
+    {"Bounds": {"GraceS": None}},
+    {"Tolerance": {"Machines": 0.5}},
+    {"InternalPorts": ["7720"]},
+    {"InternalPorts": []},
+    {"Listen": {"DatagramAddress": "10.1.0.10:99999"}},
+]
+
+
+@pytest.mark.parametrize("changes", ODD_VALUES, ids=str)
+def test_a_value_of_another_kind_is_refused(
+    tmp_path: Path, changes: dict[str, Any]
+) -> None:
+    """Guards against a daemon that ends later by what it read at its start."""
+    with pytest.raises(DocumentError):
+        read_settings(write(tmp_path, {**DOCUMENT, **changes}))
+
+
+def test_deep_nesting_in_a_changed_file_ends_no_daemon(tmp_path: Path) -> None:
+    """Guards against a daemon that ends when it reads its settings again."""
+    path = write(tmp_path, DOCUMENT)
+    listed = follow_seeds(read_settings(path), path)
+    known = listed()
+    text = json.dumps(DOCUMENT)[:-1]
+    path.write_text(text + ', "x": ' + "[" * 100_000 + "]" * 100_000 + "}")
+    assert listed() == known
+
+
 def test_other_content_is_refused(tmp_path: Path) -> None:
     """Guards against a settings file that is being written."""
     with pytest.raises(FileUnreadableError):
