Play the simulation of narrow links as an experiment, with entries as they were beside those as they are

The tool plays rising loads through entries that send at once, entries that send at the rate of their link, and those that also limit what they take, prints the means of several seeds and draws them. make bench takes two figures from it: what is answered in time at a third of the links, which the users name, and whether that falls when more is offered.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
     "configuration",
     "centre",
     "tokens",
+    "links",
 )
 
 
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -52,6 +52,9 @@
     "token.decision": Target(bound=10, unit="us"),
     "token.opening": Target(bound=25, unit="us"),
     "token.packets": Target(bound=0.5, unit="ratio", at_least=True),
+    # Close to what is offered, and no less when more is offered than the links carry.
+    "link.goodput_third": Target(bound=0.95, unit="ratio", at_least=True),
+    "link.goodput_kept": Target(bound=1, unit="ratio", at_least=True),
     "cold.excess_over_entries": Target(bound=0, unit="flows"),
     "entry.start_cpu": Target(bound=0.3, unit="s"),
     "entry.start_memory": Target(bound=256, unit="MB"),
--- a/testing/link_simulation/__main__.py
+++ b/testing/link_simulation/__main__.py
@@ -1,21 +1,65 @@
-"""Prints what callers get at rising loads on narrow links.
+"""Prints and plots what callers get at rising loads on narrow links.
 
-``python -m testing.link_simulation [--seed N] [--seconds N] [--plot FILE]``
+``python -m testing.link_simulation [--seeds N ...] [--entries N] [--plot FILE.svg]``
+plays entries that send at once, entries that send at the rate of their link, and those
+that also limit what they take.
 """
 
 from __future__ import annotations
 
 import argparse
 import sys
+from collections.abc import Sequence
 from pathlib import Path
+from statistics import mean
+from typing import NamedTuple
 
-from .play import BOOKING, UPLOAD, Conditions, Outcome, play
+from .play import BOOKING, UPLOAD, Conditions, Outcome, RequestKind, play
 
 LOADS = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 1.2, 1.5, 2.0)
+VARIANTS = {
+    "at once": Conditions(load=0.0, is_paced=False, is_limited=False),
+    "paced": Conditions(load=0.0, is_limited=False),
+    "paced and limited": Conditions(load=0.0),
+}
+
+
+class Point(NamedTuple):
+    """The means of several plays at one load, as shares."""
+
+    load: float
+    offered: float
+    goodput: float
+    uploads_in_time: float
+    bookings_in_time: float
+    uploads_failed: float
+    lost: float
+
+
+def point_of(load: float, outcomes: Sequence[Outcome]) -> Point:
+    """Return the means of plays."""
+
+    def in_time(kind: RequestKind) -> float:
+        """Return the share of a kind that was answered in time."""
+        return mean(outcome.share_in_time(kind) for outcome in outcomes)
+
+    failed = [
+        mean(request.seconds is None for request in outcome.of(UPLOAD))
+        for outcome in outcomes
+    ]
+    return Point(
+        load=load,
+        offered=mean(outcome.offered() for outcome in outcomes),
+        goodput=mean(outcome.goodput() for outcome in outcomes),
+        uploads_in_time=in_time(UPLOAD),
+        bookings_in_time=in_time(BOOKING),
+        uploads_failed=mean(failed),
+        lost=mean(outcome.lost for outcome in outcomes),
+    )
 
 
 def describe(outcome: Outcome) -> str:
-    """Return a line of figures."""
+    """Return a line of figures of one play."""
     carried = outcome.carried_bytes / outcome.conditions.capacity_bytes()
     upload, booking = (
         f"{outcome.share_in_time(kind):.3f} "
@@ -29,18 +73,47 @@
     )
 
 
+def plot(path: Path, curves: dict[str, list[Point]]) -> None:
+    """Write a plot of goodput and of requests in time against the offered load."""
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(11, 4.5), layout="constrained")
+    goodput, in_time = figure.subplots(1, 2)
+    for name, points in curves.items():
+        offered = [point.offered for point in points]
+        (line,) = goodput.plot(offered, [p.goodput for p in points], label=name)
+        color = line.get_color()
+        in_time.plot(offered, [p.uploads_in_time for p in points], color=color)
+        bookings = [p.bookings_in_time for p in points]
+        in_time.plot(offered, bookings, color=color, linestyle="--")
+    goodput.plot([0, 1], [0, 1], color="grey", linewidth=0.8, label="all in time")
+    goodput.set_ylabel("answered in time, share of the links")
+    goodput.legend(loc="upper left", fontsize=8)
+    in_time.set_ylabel("answered in time: uploads, bookings (dashed)")
+    for axes in (goodput, in_time):
+        axes.set_xlabel("offered, share of the links")
+        axes.set_ylim(bottom=0.0)
+    figure.savefig(path, format="svg")
+
+
 def main() -> int:
-    """Play the loads of the command line."""
+    """Play the loads with the seeds of the command line."""
     parser = argparse.ArgumentParser(prog="python -m testing.link_simulation")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
+    parser.add_argument("--entries", type=int, default=8)
     parser.add_argument("--plot", type=Path)
     arguments = parser.parse_args()
-    outcomes = []
-    for load in LOADS:
-        conditions = Conditions(load=load, seconds=arguments.seconds)
-        outcomes.append(play(arguments.seed, conditions))
-        print(describe(outcomes[-1]), flush=True)
+    curves: dict[str, list[Point]] = {}
+    for name, variant in VARIANTS.items():
+        for load in LOADS:
+            conditions = variant._replace(load=load, entries=arguments.entries)
+            outcomes = [play(seed, conditions) for seed in arguments.seeds]
+            point = point_of(load, outcomes)
+            curves.setdefault(name, []).append(point)
+            fields = (f"{key}={value:.3f}" for key, value in point._asdict().items())
+            print(f"{name}:", *fields, flush=True)
+    if arguments.plot:
+        plot(arguments.plot, curves)
     return 0
 
 
--- a/testing/link_simulation/entries.py
+++ b/testing/link_simulation/entries.py
@@ -27,6 +27,7 @@
     """The relay of an entry, with the clock of the simulation.
 
     :param link: carries what it relays.
+    :param is_paced: whether the entry knows the rate of its link.
     """
 
     def __init__(
@@ -37,13 +38,15 @@
         link: SimulatedLink,
         routing: Routing,
         records: list[UpstreamRecord],
+        is_paced: bool,
     ) -> None:
         self.timeline = timeline
         self.link = link
         self.arrivals: dict[QueuedPacket, Action] = {}
         self.is_waiting = False
         self.driver = RelayDriver(records=records, name=name)
-        self.driver.state.link.bytes_per_second = link.bytes_per_second
+        if is_paced:
+            self.driver.state.link.bytes_per_second = link.bytes_per_second
         put_routing(self.driver.state, routing, timeline.now)
 
     def take(
--- a/testing/link_simulation/play.py
+++ b/testing/link_simulation/play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from math import inf
 from random import Random
 from typing import NamedTuple
 
@@ -72,10 +73,13 @@
     """What a play is like.
 
     ``load`` is what the requests would use of all links if none was repeated. A link
-    keeps ``buffer_seconds`` of its rate.
+    keeps ``buffer_seconds`` of its rate. Without ``is_paced`` the entries send each
+    packet at once, without ``is_limited`` they take every request.
     """
 
     load: float
+    is_paced: bool = True
+    is_limited: bool = True
     entries: int = 4
     seconds: float = 20.0
     bytes_per_second: float = 500_000.0
@@ -158,7 +162,7 @@
         self.rng = Random(seed)
         self.conditions = conditions
         self.timeline = Timeline()
-        routing = _make_table(KINDS)
+        routing = _make_table(KINDS, is_limited=conditions.is_limited)
         records = [make_record(number) for number in UPSTREAMS]
         self.links = [
             SimulatedLink(
@@ -176,6 +180,7 @@
                 link=link,
                 routing=routing,
                 records=records,
+                is_paced=conditions.is_paced,
             )
             for number, link in enumerate(self.links)
         ]
@@ -286,15 +291,18 @@
         self.play.requests.append(request)
 
 
-def _make_table(kinds: Iterable[RequestKind]) -> Routing:
-    """Return a routing table with one route for each kind of request."""
+def _make_table(kinds: Iterable[RequestKind], *, is_limited: bool) -> Routing:
+    """Return a routing table with one route for each kind of request.
+
+    :param is_limited: whether entries know how long requests may take.
+    """
     routes = tuple(
         Route(
             name=f"r{number}",
             address=kind.front,
             kind=kind.traffic,
             timeout_seconds=kind.deadline,
-            objective_seconds=kind.objective,
+            objective_seconds=kind.objective if is_limited else inf,
             priority=1,
             shares=(ServiceShare(service=SERVICE, weight=1),),
         )
