Hold data that overtakes the first of its flow instead of taking it for the opening

An opening packet took 0.58 s to an entry while its copy opened the flow through another one at another upstream; later data of that flow came by the first entry 0.1 s after the opening packet, with the token of the upstream that had answered in vain, and was relayed there.

Cause: packets of a window come in any order, so any data within a window of the opening packet counted as the first. Only the first byte tells that the flow opens now.

Data within the window is held like other packets that lack something, for 0.3 s at most, and goes on as soon as the first data has opened the flow; callers repeat a lost first packet after 0.2 s. test_a_packet_that_overtakes_the_first_one_opens_the_flow asked that such data is relayed at once; its successor asks the same of decisions (held, then relayed after the first), and a test over sockets that upstreams get the window in order as soon as the first data is there.

--- a/src/chervilstage/coordination/opening_copies.py
+++ b/src/chervilstage/coordination/opening_copies.py
@@ -33,19 +33,37 @@
 def opens_flow(
     flow: TokenFlow | None, packet: FlowPacket, now: float, waited: float
 ) -> bool:
-    """Tell whether a packet is among the first after an opening packet seen here.
+    """Tell whether a packet is the first after an opening packet seen here.
 
-    Packets overtake each other. Only the first byte tells where the flow may have
-    opened elsewhere: a copy did not come here, or the packet may have come later.
+    Later data says nothing of where the flow has opened: an opening packet may be late
+    while its copy has opened the flow elsewhere.
     """
-    if flow is None or flow.opening is None:
+    if flow is None or flow.opening is None or _offset(flow.opening, packet) > 1:
         return False
-    certain = 0.0 if flow.lacks_copies else _until_next_copy(flow.latest_copy)
-    offset = (packet.sequence - flow.opening) % NUMBER_SPACE
+    certain = _certain_seconds(flow)
     if now - flow.sent_at < certain:
-        return offset <= WINDOW_BYTES
-    is_early = now - waited - flow.sent_at <= certain + FIRST_DATA_SECONDS
-    return is_early and offset <= 1
+        return True
+    return now - waited - flow.sent_at <= certain + FIRST_DATA_SECONDS
+
+
+def overtakes_first(flow: TokenFlow | None, packet: FlowPacket, now: float) -> bool:
+    """Tell whether a packet may have overtaken the first one of its flow.
+
+    The packets of a window come in any order, within some milliseconds.
+    """
+    if flow is None or flow.opening is None:
+        return False
+    is_near = 1 < _offset(flow.opening, packet) <= WINDOW_BYTES
+    return is_near and now - flow.sent_at < _certain_seconds(flow)
+
+
+def _offset(opening: int, packet: FlowPacket) -> int:
+    return (packet.sequence - opening) % NUMBER_SPACE
+
+
+def _certain_seconds(flow: TokenFlow) -> float:
+    """Return how long after the opening packet no copy is due elsewhere."""
+    return 0.0 if flow.lacks_copies else _until_next_copy(flow.latest_copy)
 
 
 def is_only_copy(packet: FlowPacket, waited: float) -> bool:
--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -36,7 +36,13 @@
 from .flow_tokens import PROVISIONAL, flow_token, is_provisional, provisional_token
 from .link_admission import expect_request, forget_request, has_room
 from .link_schedule import is_waiting
-from .opening_copies import is_given_up, is_only_copy, note_copy, opens_flow
+from .opening_copies import (
+    is_given_up,
+    is_only_copy,
+    note_copy,
+    opens_flow,
+    overtakes_first,
+)
 from .placement import choose_service, choose_upstream
 from .suspicion import note_answer, note_silence
 
@@ -76,12 +82,17 @@
     key = packet.caller + packet.front
     flow = _held_flow(state, key, packet)
     is_found = flow is None
+    has_opened = False
     if flow is None or not flow.is_open:
         if is_provisional(packet.token) and not opens_flow(flow, packet, now, waited):
-            return DropPacket(reason="provisional_token")
+            is_ahead = overtakes_first(flow, packet, now)
+            return DropPacket(
+                reason="ahead_of_first" if is_ahead else "provisional_token"
+            )
         found = _flow_of_token(state, packet, flow, now)
         if not isinstance(found, TokenFlow):
             return found
+        has_opened = flow is not None
         flow = state.flows[key] = found
     elif _is_route_gone(state, packet, now):
         return _end_flow(state, key, flow, packet, "route_removed")
@@ -97,6 +108,7 @@
         label=record.label,
         token=None if packet.token == flow.token else flow.token,
         is_found=is_found,
+        has_opened=has_opened,
     )
 
 
--- a/src/chervilstage/state/flow_packets.py
+++ b/src/chervilstage/state/flow_packets.py
@@ -37,13 +37,14 @@
     """Send a packet to an upstream; ``token`` replaces the packet's own if not None.
 
     ``is_found`` tells that this entry did not hold the flow and found its upstream by
-    the packet's token.
+    the packet's token, ``has_opened`` that it has seen the flow open by this packet.
     """
 
     address: Address
     label: int
     token: int | None
     is_found: bool = False
+    has_opened: bool = False
 
 
 class ResetFlow(NamedTuple):
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -41,7 +41,13 @@
 HELD_SECONDS = 0.3
 HELD_PACKETS = 512
 HELD_REASONS = frozenset(
-    {"no_routing", "no_upstreams_known", "routing_behind", "unknown_token"}
+    {
+        "ahead_of_first",
+        "no_routing",
+        "no_upstreams_known",
+        "routing_behind",
+        "unknown_token",
+    }
 )
 # A planned stop may end once no packet has come for this long.
 QUIET_SECONDS = 0.7
@@ -126,6 +132,8 @@
         else:
             self.counters.add("packets_dropped", decision.reason)
         self.note(packet, decision, now)
+        if isinstance(decision, Forward) and decision.has_opened and self.held:
+            self.release_held()
 
     def forward(
         self,
--- a/testing/flow_simulation/paths.py
+++ b/testing/flow_simulation/paths.py
@@ -15,6 +15,7 @@
 from chervilstage.transport.token_relay import HELD_REASONS
 from testing.support.token_relays import RelayDriver
 
+from .news import release_held
 from .simulation import Entry, FindingKind, HeldPacket, Simulation, Upstream
 
 PATH_SECONDS = 0.001
@@ -159,6 +160,8 @@
         after(
             PATH_SECONDS, lambda: _reach_upstream(simulation, entry, packet, decision)
         )
+        if decision.has_opened:
+            release_held(simulation, entry)
 
 
 def _hold(
--- a/testing/link_simulation/entries.py
+++ b/testing/link_simulation/entries.py
@@ -18,6 +18,7 @@
 from chervilstage.state.link_queue import QueuedPacket
 from chervilstage.state.routing import Routing
 from chervilstage.state.types import UpstreamRecord
+from chervilstage.transport.token_relay import HELD_REASONS, HELD_SECONDS
 from testing.support.timeline import Action, Timeline
 from testing.support.token_relays import RelayDriver, make_queued
 
@@ -44,6 +45,7 @@
         self.timeline = timeline
         self.link = link
         self.arrivals: dict[QueuedPacket, Action] = {}
+        self.held: list[tuple[float, Action]] = []
         self.is_waiting = False
         self.driver = RelayDriver(records=records, name=name)
         if is_paced:
@@ -70,6 +72,17 @@
             queued = queued._replace(due_at=due_at(state, queued.flow, packet))
             self.arrivals[queued] = lambda: arrive(decision)
             self.send(queued)
+            if decision.has_opened:
+                self.release_held()
+        elif decision.reason in HELD_REASONS:
+            self.held.append((now, lambda: self.take(packet, arrive, refuse)))
+
+    def release_held(self) -> None:
+        """Relay the packets that waited for the first one of their flow."""
+        held, self.held = self.held, []
+        for since, relay in held:
+            if self.timeline.now - since <= HELD_SECONDS:
+                relay()
 
     def send(self, queued: QueuedPacket) -> None:
         """Send a packet, or keep it until the link has room."""
