Send the datagrams of the product's own front ends at the rate of the link as well

The same cause elsewhere: the front ends for flows without tokens send each datagram on as soon as it is read, to upstreams and back to callers. On a link that keeps 50 ms of its rate, a burst of 60 datagrams of 1,200 bytes leaves at once and most of it is lost without an error. No caller has reported it, and the relays know no rate, so a setting tells it.

With link_mbps, both directions wait for the link, and callers take turns. The bytes of such flows are opaque, so nothing is known of copies, lengths or deadlines, and no flow is refused. Without the setting nothing changes. The queue takes datagrams with or without a packet that the entry can read; pace and order are one piece of code for both relays.

--- a/bench/flows.py
+++ b/bench/flows.py
@@ -18,10 +18,10 @@
 from chervilstage.state.types import Address, UpstreamPhase
 from chervilstage.state.view import flow_key, service_seed
 from testing.support.flow_group import FlowGroup
+from testing.support.flow_states import flow_state
 
 from .control_bytes import measure_bytes
 from .figures import Figure
-from .flow_states import flow_state
 
 NAME = "alley-desk"
 UPSTREAMS = [Address(host="10.0.0.1", port=port) for port in range(1, 8)]
--- a/bench/tokens.py
+++ b/bench/tokens.py
@@ -23,10 +23,10 @@
 from chervilstage.state.upstream_feed import FeedItem
 from chervilstage.transport.datagrams import bound_address, open_datagram_socket
 from chervilstage.transport.token_relay import TokenRelay
+from testing.support.flow_states import upstream_of
 from testing.support.token_relays import FRONT, SERVICE, make_packet, make_routing
 
 from .figures import Figure
-from .flow_states import upstream_of
 from .transport import BURST, CALLERS, HOST, ROUNDS, drain
 
 FLOWS = 10_000
--- a/bench/transport.py
+++ b/bench/transport.py
@@ -16,9 +16,9 @@
 from chervilstage.state.types import Address
 from chervilstage.transport.datagrams import bound_address, open_datagram_socket
 from chervilstage.transport.packet_relay import ServiceRelay
+from testing.support.flow_states import flow_state
 
 from .figures import Figure
-from .flow_states import flow_state
 
 HOST = "127.0.0.1"
 BURST = 64
--- a/src/chervilstage/coordination/link_schedule.py
+++ b/src/chervilstage/coordination/link_schedule.py
@@ -13,7 +13,7 @@
 
 from ..state.flow_packets import FlowPacket
 from ..state.link import Link
-from ..state.link_queue import LinkQueue, QueuedPacket, is_repeatable
+from ..state.link_queue import FlowKey, LinkQueue, QueuedPacket, is_repeatable
 from ..state.token_flows import TokenRelayState
 from .flow_accounting import is_bulk, note_relayed
 from .opening_copies import is_given_up, note_copy
@@ -23,9 +23,9 @@
 LEAD_SECONDS = 0.01
 
 
-def takes_at_once(link: Link, now: float) -> bool:
+def takes_at_once(link: Link, queue: LinkQueue, now: float) -> bool:
     """Tell whether a packet need not wait for the link."""
-    return not link.queue.flows and link.free_at <= now
+    return not queue.flows and link.free_at <= now
 
 
 def is_waiting(link: Link, flow: bytes, packet: FlowPacket) -> bool:
@@ -33,9 +33,9 @@
     return is_repeatable(packet) and link.queue.holds(flow, packet.sequence)
 
 
-def next_packet(link: Link, now: float) -> QueuedPacket | None:
+def next_packet(link: Link, queue: LinkQueue, now: float) -> QueuedPacket | None:
     """Return the packet to give to the link now, None if there is none or no room."""
-    return take_next(link.queue, now) if link.ahead(now) < LEAD_SECONDS else None
+    return take_next(queue, now) if link.ahead(now) < LEAD_SECONDS else None
 
 
 def take_next(queue: LinkQueue, now: float) -> QueuedPacket | None:
@@ -51,7 +51,7 @@
     return queued
 
 
-def _next_turn(queue: LinkQueue) -> bytes | None:
+def _next_turn(queue: LinkQueue) -> FlowKey | None:
     """Return the flow whose turn it is.
 
     A flow without packets stays until its turn comes, so that it cannot count as fresh
@@ -67,16 +67,16 @@
     return None
 
 
-def _next_bulk(queue: LinkQueue, now: float) -> bytes | None:
+def _next_bulk(queue: LinkQueue, now: float) -> FlowKey | None:
     """Return the flow of the long request that goes first."""
     while queue.bulk and queue.bulk[0][0] < now:
-        queue.late.append(heappop(queue.bulk)[1])
+        queue.late.append(heappop(queue.bulk)[-1])
     if queue.bulk:
-        return heappop(queue.bulk)[1]
+        return heappop(queue.bulk)[-1]
     return queue.late.popleft() if queue.late else None
 
 
-def _put_back(queue: LinkQueue, flow: bytes) -> None:
+def _put_back(queue: LinkQueue, flow: FlowKey) -> None:
     """Put a flow where its next packet belongs, or forget it if it has none."""
     backlog = queue.flows[flow]
     if not backlog.packets:
@@ -86,7 +86,7 @@
     if due is None:
         queue.turns.append(flow)
     else:
-        heappush(queue.bulk, (due, flow))
+        heappush(queue.bulk, (due, backlog.number, flow))
 
 
 def due_at(state: TokenRelayState, key: bytes, packet: FlowPacket) -> float | None:
@@ -110,26 +110,30 @@
 def is_too_late(queued: QueuedPacket, now: float) -> bool:
     """Tell whether a packet opens a flow whose caller has given up meanwhile."""
     packet = queued.packet
-    return packet.is_opening and is_given_up(packet, _waited(queued, now))
+    if packet is None or not packet.is_opening:
+        return False
+    return is_given_up(packet, waited_seconds(queued, now))
 
 
-def note_given(state: TokenRelayState, queued: QueuedPacket, now: float) -> None:
-    """Take note that a packet is given to the link."""
-    link = state.link
-    link.give(len(queued.datagram), now)
-    link.traffic.waited_seconds = max(
-        link.traffic.waited_seconds, now - queued.queued_at
-    )
-    flow = state.flows.get(queued.flow)
+def note_sent(
+    state: TokenRelayState, packet: FlowPacket, now: float, waited: float
+) -> None:
+    """Take note that a caller's packet was sent to its upstream.
+
+    :param waited: the seconds that the packet may have waited at this entry.
+    """
+    if not is_repeatable(packet):
+        return
+    flow = state.flows.get(packet.caller + packet.front)
     if flow is None:
         return
-    packet = queued.packet
     if packet.size:
-        note_relayed(link, flow, packet, now)
-    elif packet.is_opening and not flow.is_open:
+        note_relayed(state.link, flow, packet, now)
+    elif not flow.is_open:
         flow.sent_at = now
-        note_copy(flow, packet, _waited(queued, now))
+        note_copy(flow, packet, waited)
 
 
-def _waited(queued: QueuedPacket, now: float) -> float:
+def waited_seconds(queued: QueuedPacket, now: float) -> float:
+    """Return the seconds that a packet may have waited at this entry."""
     return queued.waited + now - queued.queued_at
--- a/src/chervilstage/platform/settings.py
+++ b/src/chervilstage/platform/settings.py
@@ -12,11 +12,11 @@
 from ..errors.platform import FieldError
 from ..errors.settings import DocumentError, FileUnreadableError
 from ..protocol.json_fields import MALFORMED, address_of, count_of, number_of, reason_of
+from ..state.link import BYTES_PER_MEGABIT
 from ..state.types import Address
 
 SETTINGS_VARIABLE = "CHERVILSTAGE_NODE_FILE"
 MILLISECONDS = 1000.0
-BYTES_PER_MEGABIT = 125_000
 
 
 class NodeSettings(NamedTuple):
--- a/src/chervilstage/protocol/settings.py
+++ b/src/chervilstage/protocol/settings.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from math import inf
 from pathlib import Path
 from typing import Annotated, Any, Literal, NotRequired
 
 from pydantic import ConfigDict, Field, StringConstraints, TypeAdapter, with_config
 from typing_extensions import TypedDict
 
+from ..state.link import BYTES_PER_MEGABIT
 from ..state.types import Address, Peer
 from .documents import Name, Port
 from .key_file import read_key_file
@@ -33,7 +35,8 @@
     """Settings of ``chervilstage-entry``.
 
     ``peer_port`` is used for datagrams and for frames. ``platform_port`` takes
-    announcements of upstreams. ``drain_seconds`` bounds a planned stop.
+    announcements of upstreams. ``drain_seconds`` bounds a planned stop. ``link_mbps``
+    is the rate of the VM's own link in megabits a second.
     """
 
     name: Name
@@ -46,6 +49,7 @@
     peers: NotRequired[list[PeerSettings]]
     replicas: NotRequired[list[PeerSettings]]
     drain_seconds: NotRequired[Annotated[float, Field(gt=0)]]
+    link_mbps: NotRequired[Annotated[float, Field(gt=0)]]
     log_level: NotRequired[LogLevel]
 
 
@@ -103,6 +107,11 @@
     return read_key_file(settings_path.parent / name)
 
 
+def link_rate(settings: EntrySettings) -> float:
+    """Return the rate of an entry's link in bytes a second, infinite if not told."""
+    return settings.get("link_mbps", inf) * BYTES_PER_MEGABIT
+
+
 def peers_of(settings: list[PeerSettings]) -> list[Peer]:
     """Return the records of configured peers."""
     return [
--- a/src/chervilstage/state/link.py
+++ b/src/chervilstage/state/link.py
@@ -7,6 +7,7 @@
 from .histograms import Histogram
 from .link_queue import LinkQueue
 
+BYTES_PER_MEGABIT = 125_000
 # Preamble, Ethernet header and checksum, gap between frames, IPv4 and UDP headers.
 DATAGRAM_OVERHEAD_BYTES = 66
 # Messages with the control replicas and the fabric take the rest.
@@ -65,6 +66,10 @@
         if self.free_at - now > traffic.ahead_seconds:
             traffic.ahead_seconds = self.free_at - now
 
+    def note_wait(self, seconds: float) -> None:
+        """Take note of how long a packet has waited for the link."""
+        self.traffic.waited_seconds = max(self.traffic.waited_seconds, seconds)
+
     def take_traffic(self) -> LinkTraffic:
         """Return what was sent since the last call."""
         traffic, self.traffic = self.traffic, LinkTraffic()
--- a/src/chervilstage/state/link_queue.py
+++ b/src/chervilstage/state/link_queue.py
@@ -7,52 +7,57 @@
 from typing import NamedTuple
 
 from .flow_packets import NUMBER_SPACE, FlowPacket
-from .types import Address
 
 # A caller has 16 packets of data in flight, and few others.
 MAXIMUM_FLOW_PACKETS = 64
 MAXIMUM_BYTES = 4 * 1024 * 1024
 
+FlowKey = bytes | int
+
 
 class QueuedPacket(NamedTuple):
-    """A packet of a caller and the datagram that takes it to an upstream.
+    """A datagram of a flow that waits for the link.
 
     ``waited`` bounds the seconds that it waited at this entry before ``queued_at``.
     ``due_at`` is when its request should be answered, None if that is a short one.
+    ``packet`` is the caller's packet in it, None if this entry cannot read it.
     """
 
-    flow: bytes
-    packet: FlowPacket
+    flow: FlowKey
     datagram: bytes
-    address: Address
+    address: tuple[str, int]
     queued_at: float
-    waited: float
+    waited: float = 0.0
     due_at: float | None = None
+    packet: FlowPacket | None = None
 
 
 class FlowBacklog:
-    """The packets of one flow that wait, by sequence and then by arrival.
+    """The packets of one flow that wait, by sequence if known and then by arrival.
 
     ``copied`` holds the sequences of those that a caller repeats: opening packets and
     data.
 
     :param first: the sequence of the first packet; the others are within half of the
         number space of it.
+    :param number: orders backlogs that are due at the same time.
     """
 
-    def __init__(self, *, first: int) -> None:
+    def __init__(self, *, first: int, number: int) -> None:
         self.first = first
+        self.number = number
         self.arrivals = 0
         self.packets: list[tuple[int, int, QueuedPacket]] = []
         self.copied: set[int] = set()
 
     def add(self, queued: QueuedPacket) -> None:
         """Keep a packet."""
-        sequence = queued.packet.sequence
+        packet = queued.packet
+        sequence = packet.sequence if packet else self.first
         offset = (sequence - self.first + NUMBER_SPACE // 2) % NUMBER_SPACE
         self.arrivals += 1
         heappush(self.packets, (offset, self.arrivals, queued))
-        if is_repeatable(queued.packet):
+        if packet and is_repeatable(packet):
             self.copied.add(sequence)
 
     def due_at(self) -> float | None:
@@ -62,7 +67,8 @@
     def remove_first(self) -> QueuedPacket:
         """Remove and return the packet with the first sequence."""
         _, _, queued = heappop(self.packets)
-        self.copied.discard(queued.packet.sequence)
+        if queued.packet:
+            self.copied.discard(queued.packet.sequence)
         return queued
 
 
@@ -76,15 +82,16 @@
     """
 
     def __init__(self) -> None:
-        self.flows: dict[bytes, FlowBacklog] = {}
-        self.fresh: deque[bytes] = deque()
-        self.turns: deque[bytes] = deque()
-        self.bulk: list[tuple[float, bytes]] = []
-        self.late: deque[bytes] = deque()
+        self.flows: dict[FlowKey, FlowBacklog] = {}
+        self.fresh: deque[FlowKey] = deque()
+        self.turns: deque[FlowKey] = deque()
+        self.bulk: list[tuple[float, int, FlowKey]] = []
+        self.late: deque[FlowKey] = deque()
+        self.begun = 0
         self.packets = 0
         self.bytes = 0
 
-    def holds(self, flow: bytes, sequence: int) -> bool:
+    def holds(self, flow: FlowKey, sequence: int) -> bool:
         """Tell whether an opening packet or data of a flow waits."""
         backlog = self.flows.get(flow)
         return backlog is not None and sequence in backlog.copied
@@ -96,7 +103,9 @@
         if self.bytes + size > MAXIMUM_BYTES:
             return False
         if backlog is None:
-            backlog = FlowBacklog(first=queued.packet.sequence)
+            first = queued.packet.sequence if queued.packet else 0
+            self.begun += 1
+            backlog = FlowBacklog(first=first, number=self.begun)
             self.flows[queued.flow] = backlog
             self.fresh.append(queued.flow)
         elif len(backlog.packets) >= MAXIMUM_FLOW_PACKETS:
@@ -106,7 +115,7 @@
         self.bytes += size
         return True
 
-    def remove_first(self, flow: bytes) -> QueuedPacket:
+    def remove_first(self, flow: FlowKey) -> QueuedPacket:
         """Remove and return the first packet of a flow."""
         queued = self.flows[flow].remove_first()
         self.packets -= 1
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -6,10 +6,11 @@
 from typing import NamedTuple
 
 from ..coordination.flows import end_flows_out
-from ..protocol.settings import EntrySettings, peers_of
+from ..protocol.settings import EntrySettings, link_rate, peers_of
 from ..state.counters import Counters
 from ..state.flow_state import FlowState
 from ..state.in_force import ConfigurationInForce
+from ..state.link import Link
 from ..state.members import MemberTable
 from ..state.registry import UpstreamRegistry
 from ..state.types import Address, Peer
@@ -190,6 +191,7 @@
         requests=requests,
         flows=state.flows,
         on_held=flow_link.wake,
+        link=Link(bytes_per_second=link_rate(settings)),
     )
     registration = Registration(
         address=Address(host=settings["host"], port=settings["platform_port"]),
--- a/src/chervilstage/transport/front_ends.py
+++ b/src/chervilstage/transport/front_ends.py
@@ -12,6 +12,7 @@
 from ..state.counters import Counters
 from ..state.flow_state import FlowState
 from ..state.in_force import ConfigurationInForce
+from ..state.link import Link
 from ..state.types import UpstreamId
 from .application import Hooks
 from .http_front import HttpFrontEnd
@@ -33,6 +34,7 @@
 
     :param host: the address of this entry.
     :param on_held: called after a packet has been held until peers have answered.
+    :param link: what this entry sends on.
     """
 
     def __init__(
@@ -44,8 +46,10 @@
         requests: RequestService,
         flows: FlowState,
         on_held: Callable[[], None],
+        link: Link,
     ) -> None:
         self.host = host
+        self.link = link
         self.flows = flows
         self.in_force = in_force
         self.counters = counters
@@ -79,6 +83,7 @@
             flows=self.flows,
             counters=self.counters,
             on_held=self.on_held,
+            link=self.link,
         )
         requests = self.requests.front_end(self.host, service)
         scopes = (relay.start(self.group), requests.start(self.group))
--- a/src/chervilstage/transport/packet_relay.py
+++ b/src/chervilstage/transport/packet_relay.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections.abc import Callable
+from math import isfinite
 
 from anyio import CancelScope, create_task_group
 from anyio.abc import TaskGroup
@@ -24,18 +25,29 @@
 from ..state.counters import Counters
 from ..state.flow_state import FlowState
 from ..state.flow_table import Pin
+from ..state.link import Link
+from ..state.link_queue import LinkQueue, QueuedPacket
 from ..state.types import Address, UpstreamId
 from ..state.view import flow_key, service_seed
-from .datagrams import bound_address, open_datagram_socket, receive_datagrams
+from .clock import replica_clock
+from .datagrams import (
+    bound_address,
+    open_datagram_socket,
+    receive_datagrams,
+)
 from .event_log import log_event
 from .held_packets import HeldPackets
+from .paced_sender import PacedSender
 
 
 class ServiceRelay:
     """Relays the packets of one service.
 
+    Datagrams to upstreams and to callers share the link; each caller's take turns.
+
     :param host: the address of this entry for callers and upstreams.
     :param on_held: called after a packet has been held until peers have answered.
+    :param link: what this entry sends on.
     """
 
     def __init__(
@@ -46,8 +58,11 @@
         flows: FlowState,
         counters: Counters,
         on_held: Callable[[], None],
+        link: Link | None = None,
     ) -> None:
         self.name = service.name
+        self.link = link or Link()
+        self.is_paced = isfinite(self.link.bytes_per_second)
         self.flows = flows
         self.counters = counters
         self.on_held = on_held
@@ -61,6 +76,18 @@
         self.prefix = encode_header(self.front_address, self.front_address)
         self.prefix = self.prefix[:PREFIX_BYTES]
         self.held = HeldPackets()
+        self.to_upstreams = PacedSender(
+            link=self.link,
+            queue=LinkQueue(),
+            give=self.give_to_upstream,
+            counters=counters,
+        )
+        self.to_callers = PacedSender(
+            link=self.link,
+            queue=LinkQueue(),
+            give=self.give_to_caller,
+            counters=counters,
+        )
 
     def receive_from_caller(self, data: bytes, sender: tuple[str, int]) -> None:
         """Route one packet of a caller."""
@@ -71,7 +98,7 @@
         )
         packet = self.write_header(caller) + data
         if isinstance(decision, Pin):
-            self.send_to_upstream(packet, decision.upstream.address)
+            self.send_to_upstream(key, packet, decision.upstream.address)
         elif isinstance(decision, Drop):
             self.counters.add("packets_dropped", decision.reason)
         elif self.held.hold(key, packet):
@@ -79,14 +106,58 @@
         else:
             self.counters.add("packets_dropped", "hold_buffer_full")
 
-    def send_to_upstream(self, packet: bytes, address: Address) -> None:
-        """Send a packet that begins with its header."""
+    def send_to_upstream(self, key: int, packet: bytes, address: Address) -> None:
+        """Send a packet that begins with its header.
+
+        :param key: the key of its flow.
+        """
+        if self.is_paced:
+            self.pace(self.to_upstreams, key, packet, address)
+        else:
+            self.transmit(self.back, packet, address, self.forwarded)
+
+    def send_to_caller(self, key: int, answer: bytes, to: tuple[str, int]) -> None:
+        """Send an answer to the caller of a flow."""
+        if self.is_paced:
+            self.pace(self.to_callers, key, answer, to)
+        else:
+            self.transmit(self.front, answer, to, self.returned)
+
+    def pace(
+        self, sender: PacedSender, key: int, datagram: bytes, to: tuple[str, int]
+    ) -> None:
+        """Send a datagram at once, or when the link has room."""
+        now = replica_clock()
+        queued = QueuedPacket(flow=key, datagram=datagram, address=to, queued_at=now)
+        if sender.has_room(now):
+            sender.give(queued, now)
+        else:
+            sender.keep(queued)
+
+    def give_to_upstream(self, queued: QueuedPacket, now: float) -> None:
+        """Give a packet for an upstream to the link."""
+        self.link.give(len(queued.datagram), now)
+        self.transmit(self.back, queued.datagram, queued.address, self.forwarded)
+
+    def give_to_caller(self, queued: QueuedPacket, now: float) -> None:
+        """Give an answer for a caller to the link."""
+        self.link.give(len(queued.datagram), now)
+        self.transmit(self.front, queued.datagram, queued.address, self.returned)
+
+    def transmit(
+        self,
+        sock: socket.socket,
+        datagram: bytes,
+        to: tuple[str, int],
+        counter: tuple[str, str],
+    ) -> None:
+        """Send a datagram and count it."""
         try:
-            self.back.sendto(packet, address)
+            sock.sendto(datagram, to)
         except OSError:
             self.counters.add("packets_dropped", "not_sent")
             return
-        self.counters.values[self.forwarded] += 1
+        self.counters.values[counter] += 1
 
     def release(self, key: int, upstream: UpstreamId | None) -> None:
         """Send the packets that were held for a flow, or drop them."""
@@ -95,7 +166,7 @@
             self.counters.add("packets_dropped", "no_upstream", len(packets))
             return
         for packet in packets:
-            self.send_to_upstream(packet, upstream.address)
+            self.send_to_upstream(key, packet, upstream.address)
 
     def receive_from_upstream(self, data: bytes, sender: tuple[str, int]) -> None:
         """Return one packet of an upstream to its caller."""
@@ -107,12 +178,7 @@
         if not accepts_answer(self.flows, self.name, key, sender):
             self.counters.add("packets_dropped", "foreign_answer")
             return
-        try:
-            self.front.sendto(data[HEADER_BYTES:], unpacked_address(caller))
-        except OSError:
-            self.counters.add("packets_dropped", "not_sent")
-            return
-        self.counters.values[self.returned] += 1
+        self.send_to_caller(key, data[HEADER_BYTES:], unpacked_address(caller))
 
     async def run(self, scope: CancelScope) -> None:
         """Relay packets until the scope is cancelled."""
@@ -124,6 +190,8 @@
                 group.start_soon(
                     receive_datagrams, self.back, self.receive_from_upstream
                 )
+                group.start_soon(self.to_upstreams.run)
+                group.start_soon(self.to_callers.run)
         self.front.close()
         self.back.close()
 
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 
 from ..coordination.flow_tokens import names_another
-from ..coordination.link_schedule import due_at
+from ..coordination.link_schedule import due_at, note_sent, waited_seconds
 from ..coordination.relay_directory import forget_old
 from ..coordination.token_relay import relay_packet, sweep_flows
 from ..errors import ChervilstageError
@@ -99,7 +99,9 @@
         self.held: deque[ReceivedDatagram] = deque(maxlen=HELD_PACKETS)
         self.received_at = replica_clock()
         self.sock = open_datagram_socket(*address)
-        self.sender = PacedSender(sock=self.sock, state=state, counters=counters)
+        self.sender = PacedSender(
+            link=state.link, queue=state.link.queue, give=self.give, counters=counters
+        )
         self.arrivals = ArrivalBound(
             now=self.received_at, buffer_bytes=RECEIVE_BUFFER_BYTES
         )
@@ -143,21 +145,50 @@
         now: float,
     ) -> None:
         """Send a packet on to its upstream."""
+        out = self.codec.forward(datagram.data, decision.label, decision.token)
+        waited = datagram.waited_seconds + now - datagram.read_at
+        if self.sender.has_room(now):
+            self.send(out, decision.address, packet, now, waited)
+            return
         key = packet.caller + packet.front
-        self.sender.send(
+        self.sender.keep(
             QueuedPacket(
                 flow=key,
-                packet=packet,
-                datagram=self.codec.forward(
-                    datagram.data, decision.label, decision.token
-                ),
+                datagram=out,
                 address=decision.address,
                 queued_at=now,
-                waited=datagram.waited_seconds + now - datagram.read_at,
+                waited=waited,
                 due_at=due_at(self.state, key, packet),
+                packet=packet,
             )
         )
 
+    def give(self, queued: QueuedPacket, now: float) -> None:
+        """Send a packet that has waited for the link."""
+        assert queued.packet is not None
+        waited = waited_seconds(queued, now)
+        self.state.link.note_wait(now - queued.queued_at)
+        self.send(queued.datagram, queued.address, queued.packet, now, waited)
+
+    def send(
+        self,
+        data: bytes,
+        to: tuple[str, int],
+        packet: FlowPacket,
+        now: float,
+        waited: float,
+    ) -> None:
+        """Send a datagram to an upstream.
+
+        :param packet: the caller's packet in it.
+        :param waited: the seconds that the packet may have waited here.
+        """
+        if send_datagram(self.sock, data, to):
+            self.state.link.give(len(data), now)
+            note_sent(self.state, packet, now, waited)
+        else:
+            self.counters.add("packets_unsent", "upstream")
+
     def hold(self, datagram: ReceivedDatagram) -> None:
         """Keep a datagram for a moment; the oldest one gives way."""
         if len(self.held) == HELD_PACKETS:
--- a/testing/coordination/test_link_schedule.py
+++ b/testing/coordination/test_link_schedule.py
@@ -10,9 +10,10 @@
     due_at,
     is_too_late,
     next_packet,
-    note_given,
+    note_sent,
     take_next,
     takes_at_once,
+    waited_seconds,
 )
 from chervilstage.coordination.suspicion import is_suspect
 from chervilstage.coordination.token_relay import relay_packet
@@ -55,11 +56,22 @@
     return make_queued(packet, UPSTREAM, 0.0)._replace(due_at=due)
 
 
+def packet_in(queued: QueuedPacket) -> FlowPacket:
+    """Return the caller's packet that waits."""
+    assert queued.packet is not None
+    return queued.packet
+
+
+def port_of(queued: QueuedPacket) -> int:
+    """Return the port of the caller of a packet that waits."""
+    return int.from_bytes(packet_in(queued).caller[4:6], "big")
+
+
 def ports_of(queue: LinkQueue, now: float = 0.0) -> list[int]:
     """Empty a queue and return the callers' ports in the order of their turns."""
     ports = []
     while queued := take_next(queue, now):
-        ports.append(int.from_bytes(queued.flow[4:6], "big"))
+        ports.append(port_of(queued))
     return ports
 
 
@@ -134,7 +146,7 @@
             queue.add(data_of(40_002, number * DATA_BYTES))
             queued = take_next(queue, 0.0)
             assert queued is not None
-            taken.append(int.from_bytes(queued.flow[4:6], "big"))
+            taken.append(port_of(queued))
         self.assertThat(taken.count(40_001), Equals(1))
 
     def test_packets_of_a_flow_leave_in_the_order_of_their_sequence(self) -> None:
@@ -146,7 +158,7 @@
             queue.add(data_of(40_001, in_order[position]))
         taken = []
         while queued := take_next(queue, 0.0):
-            taken.append(queued.packet.sequence)
+            taken.append(packet_in(queued).sequence)
         self.assertThat(taken, Equals(in_order))
 
     def test_acknowledgements_with_one_sequence_leave_as_they_came(self) -> None:
@@ -157,10 +169,34 @@
             queue.add(make_queued(packet, UPSTREAM, 0.0))
         taken = []
         while queued := take_next(queue, 0.0):
-            taken.append(queued.packet.acknowledged)
+            taken.append(packet_in(queued).acknowledged)
         self.assertThat(taken, Equals([500, 1_700, 2_900]))
 
 
+class OpaqueDatagramsTests(TestCase):
+    """Guards against flows of which an entry reads nothing that are left out."""
+
+    def test_datagrams_of_a_flow_keep_their_order_and_flows_take_turns(self) -> None:
+        queue = LinkQueue()
+        for text in (b"a1", b"a2", b"a3", b"b1", b"b2"):
+            queued = QueuedPacket(
+                flow=text[0], datagram=text, address=UPSTREAM.address, queued_at=0.0
+            )
+            self.assertThat(queue.add(queued), Equals(True))
+        taken = []
+        while queued := take_next(queue, 0.0):
+            taken.append(queued.datagram)
+        self.assertThat(taken, Equals([b"a1", b"b1", b"a2", b"b2", b"a3"]))
+        self.assertThat(is_too_late(queued_of(b"x"), 1e9), Equals(False))
+
+
+def queued_of(datagram: bytes) -> QueuedPacket:
+    """Return a datagram of which nothing is read."""
+    return QueuedPacket(
+        flow=1, datagram=datagram, address=UPSTREAM.address, queued_at=0.0
+    )
+
+
 class BoundsTests(TestCase):
     """Guards against a queue that takes all memory."""
 
@@ -197,8 +233,8 @@
         given = 0
         for step in range(101):
             now = relay.now + step / 1_000
-            while queued := next_packet(link, now):
-                note_given(relay.state, queued, now)
+            while queued := next_packet(link, link.queue, now):
+                link.give(len(queued.datagram), now)
                 given += len(queued.datagram)
             self.assertThat(link.ahead(now), LessThan(LEAD_SECONDS + 0.003))
         carried = 0.1 * BYTES_PER_SECOND
@@ -208,13 +244,13 @@
     def test_a_link_of_unknown_rate_takes_everything_at_once(self) -> None:
         link = Link()
         for _ in range(1_000):
-            self.assertThat(takes_at_once(link, 1.0), Equals(True))
+            self.assertThat(takes_at_once(link, link.queue, 1.0), Equals(True))
             link.give(1_239, 1.0)
 
     def test_a_packet_does_not_overtake_those_that_wait(self) -> None:
         link = Link(bytes_per_second=BYTES_PER_SECOND)
         link.queue.add(data_of(40_001, 0))
-        self.assertThat(takes_at_once(link, 1.0), Equals(False))
+        self.assertThat(takes_at_once(link, link.queue, 1.0), Equals(False))
 
 
 class WaitingCopiesTests(TestCase):
@@ -237,7 +273,9 @@
         """Give the link the packet whose turn it is."""
         queued = take_next(self.link.queue, 0.0)
         assert queued is not None
-        note_given(self.relay.state, queued, self.relay.now)
+        now = self.relay.now
+        waited = waited_seconds(queued, now)
+        note_sent(self.relay.state, packet_in(queued), now, waited)
         return queued
 
     def test_data_that_waits_is_not_queued_again(self) -> None:
--- a/testing/link_simulation/entries.py
+++ b/testing/link_simulation/entries.py
@@ -8,9 +8,10 @@
     due_at,
     is_too_late,
     next_packet,
-    note_given,
+    note_sent,
     seconds_to_next,
     takes_at_once,
+    waited_seconds,
 )
 from chervilstage.coordination.relay_directory import put_routing
 from chervilstage.coordination.token_relay import relay_packet
@@ -87,7 +88,7 @@
     def send(self, queued: QueuedPacket) -> None:
         """Send a packet, or keep it until the link has room."""
         link, now = self.driver.state.link, self.timeline.now
-        if takes_at_once(link, now):
+        if takes_at_once(link, link.queue, now):
             self.give(queued)
         elif not link.queue.add(queued):
             self.arrivals.pop(queued)
@@ -97,13 +98,16 @@
 
     def give(self, queued: QueuedPacket) -> None:
         """Give a packet to the link."""
-        note_given(self.driver.state, queued, self.timeline.now)
+        state, now = self.driver.state, self.timeline.now
+        assert queued.packet is not None
+        state.link.give(len(queued.datagram), now)
+        note_sent(state, queued.packet, now, waited_seconds(queued, now))
         self.link.send(len(queued.datagram), self.arrivals.pop(queued))
 
     def give_due(self) -> None:
         """Give the link the packets that it has room for."""
         link, now = self.driver.state.link, self.timeline.now
-        while queued := next_packet(link, now):
+        while queued := next_packet(link, link.queue, now):
             if is_too_late(queued, now):
                 self.arrivals.pop(queued)
             else:
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from chervilstage.coordination.link_schedule import note_given
+from chervilstage.coordination.link_schedule import note_sent
 from chervilstage.coordination.relay_directory import (
     put_out,
     put_routing,
@@ -120,11 +120,11 @@
     """Return a packet with a datagram of its size, as a relay gives it to its link."""
     return QueuedPacket(
         flow=packet.caller + packet.front,
-        packet=packet,
         datagram=bytes(HEADER_BYTES + packet.size),
         address=decision.address,
         queued_at=now,
         waited=waited,
+        packet=packet,
     )
 
 
@@ -194,8 +194,8 @@
         )
         decision = relay_packet(self.state, packet, self.now, self.rng, waited)
         if isinstance(decision, Forward):
-            queued = make_queued(packet, decision, self.now, waited)
-            note_given(self.state, queued, self.now)
+            self.state.link.give(HEADER_BYTES + packet.size, self.now)
+            note_sent(self.state, packet, self.now, waited)
         return decision
 
     def open(self, caller: int) -> Forward:
