--- a/src/chervilstage/platform/control.py
+++ b/src/chervilstage/platform/control.py
@@ -11,11 +11,17 @@
 from ..transport.application import Application
 from ..transport.control_parts import build_control_parts, build_feed_parts
 from ..transport.http_endpoint import http_endpoint_hooks
+from ..transport.metrics_endpoint import lazy_metrics_hooks
 from .control_calls import ControlCalls
 from .documents import decode_accepted
-from .metrics import METRICS_PORTS, platform_metrics_hooks
 from .settings import NodeSettings, required, settings_path
-from .shared import SHARED_KEY, follow_seeds, make_application, replica_address
+from .shared import (
+    METRICS_PORTS,
+    SHARED_KEY,
+    follow_seeds,
+    make_application,
+    replica_address,
+)
 
 
 def build_control(settings: NodeSettings, started_at: float) -> Application:
@@ -51,7 +57,7 @@
     parts.add_to(app)
     feed.add_to(app)
     app.add(
-        platform_metrics_hooks(
+        lazy_metrics_hooks(
             address=Address(host=settings.host, port=METRICS_PORTS["control"]),
             counters=counters,
             gauges=parts.gauges,
--- a/src/chervilstage/platform/control_calls.py
+++ b/src/chervilstage/platform/control_calls.py
@@ -20,6 +20,7 @@
 from ..state.configuration import Change, RoutingDocument
 from ..state.counters import Counters
 from ..state.histograms import Histogram
+from ..state.routing import TrafficKind
 from ..transport.change_calls import ChangeCalls
 from ..transport.clock import replica_clock
 from ..transport.event_log import log_event
@@ -116,6 +117,8 @@
         problems = routing_problems(routing)
         if problems:
             raise RoutingInvalidError(problems=problems[:SHOWN_PROBLEMS])
+        if unknown := sum(r.kind is TrafficKind.UNKNOWN for r in routing.routes):
+            log_event("route_kinds_unknown", version=routing.version, routes=unknown)
         digest = blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
         change = _make_change(f"routing-{routing.version}-{digest}")
         document = RoutingDocument(version=routing.version, content=body)
--- a/src/chervilstage/platform/documents.py
+++ b/src/chervilstage/platform/documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import re
 from typing import Any
 
@@ -12,10 +11,15 @@
 from ..protocol.json_fields import (
     MALFORMED,
     address_of,
+    choice_of,
     count_of,
+    each,
+    load_json,
     name_of,
     number_of,
+    object_of,
     port_of,
+    read,
     reason_of,
     text_of,
 )
@@ -34,8 +38,10 @@
     "safe": TrafficKind.IDEMPOTENT,
     "unsafe": TrafficKind.NON_IDEMPOTENT,
     "upload": TrafficKind.UPLOAD,
+    "download": TrafficKind.DOWNLOAD,
 }
 PHASES = {"ready": UpstreamPhase.READY, "draining": UpstreamPhase.LEAVING}
+DEFAULT_IDLE_MS = 60_000
 LABEL_BITS = 64
 LONGEST_ID = 80
 MAXIMUM_SLOTS = 10_000
@@ -50,7 +56,7 @@
     :raises RoutingInvalidError: it cannot be read in full.
     """
     try:
-        return _routing(json.loads(content))
+        return _routing(object_of(load_json(content)))
     except MALFORMED as error:
         raise RoutingInvalidError(problems=[reason_of(error)]) from error
 
@@ -71,10 +77,10 @@
     :raises AnnouncementError: fields are missing, malformed, unknown or impossible.
     """
     try:
-        record = _record(label_of(label), json.loads(body))
+        record = _record(label_of(label), object_of(load_json(body)))
         running_ms = now_ms + CLOCK_DIFFERENCE_MS - record.identity.incarnation
         if not record.sequence <= running_ms:
-            raise FieldError(value=record.sequence, reason="more calls than time")
+            raise FieldError(field="Sequence", reason="more calls than milliseconds")
         return record
     except MALFORMED as error:
         raise AnnouncementError(reason=reason_of(error)) from error
@@ -86,7 +92,9 @@
     :raises AnnouncementError: the body is malformed.
     """
     try:
-        return count_of(json.loads(body).get("born", 0)) or None if body else None
+        if not body:
+            return None
+        return read(object_of(load_json(body)), "born", count_of, default=0) or None
     except MALFORMED as error:
         raise AnnouncementError(reason=reason_of(error)) from error
 
@@ -104,67 +112,91 @@
 
 
 def _routing(document: dict[str, Any]) -> Routing:
-    limits = document.get("Limits", {})
+    limits = read(document, "Limits", object_of, default={})
+    idle_ms = read(limits, "IdleTimeoutMs", count_of, default=DEFAULT_IDLE_MS)
     return Routing(
-        version=count_of(document["Version"]),
-        routes=tuple(_route(item) for item in document["Routes"]),
-        services=tuple(_service(item) for item in document["Services"]),
-        flow_idle_seconds=count_of(limits.get("IdleTimeoutMs", 60_000)) / MILLISECONDS,
+        version=read(document, "Version", count_of),
+        routes=read(document, "Routes", each(_route)),
+        services=read(document, "Services", each(_service)),
+        flow_idle_seconds=idle_ms / MILLISECONDS,
     )
 
 
-def _route(item: dict[str, Any]) -> Route:
+def _route(value: Any) -> Route:
     """Return a route; its ``PathPrefix`` holds a port between slashes."""
+    item = object_of(value)
     if "Split" in item:
-        shares = tuple(
-            ServiceShare(service=text_of(s["Service"]), weight=count_of(s["Weight"]))
-            for s in item["Split"]
-        )
+        shares = read(item, "Split", each(_share))
     else:
-        shares = (ServiceShare(service=text_of(item["Service"]), weight=1),)
+        shares = (ServiceShare(service=read(item, "Service", text_of), weight=1),)
     return Route(
-        name=text_of(item["Name"]),
+        name=read(item, "Name", text_of),
         address=Address(
-            host=text_of(item["Host"]),
-            port=port_of(text_of(item["PathPrefix"]).strip("/")),
+            host=read(item, "Host", text_of),
+            port=read(item, "PathPrefix", _prefix_port),
         ),
-        kind=KINDS[item["Kind"]],
-        timeout_seconds=number_of(item["TimeoutMs"]) / MILLISECONDS,
-        objective_seconds=number_of(item.get("AimMs", 0)) / MILLISECONDS,
-        priority=count_of(item.get("Priority", 0)),
+        kind=read(item, "Kind", _kind),
+        timeout_seconds=read(item, "TimeoutMs", number_of) / MILLISECONDS,
+        objective_seconds=read(item, "AimMs", number_of, default=0) / MILLISECONDS,
+        priority=read(item, "Priority", count_of, default=0),
         shares=shares,
     )
 
 
-def _service(item: dict[str, Any]) -> RoutedService:
+def _share(value: Any) -> ServiceShare:
+    item = object_of(value)
+    return ServiceShare(
+        service=read(item, "Service", text_of), weight=read(item, "Weight", count_of)
+    )
+
+
+def _prefix_port(value: Any) -> int:
+    return port_of(text_of(value).strip("/"))
+
+
+def _kind(value: Any) -> TrafficKind:
+    """Return a kind of requests.
+
+    A word of later pages does not make the whole table unreadable.
+    """
+    return KINDS.get(text_of(value), TrafficKind.UNKNOWN)
+
+
+def _service(value: Any) -> RoutedService:
+    item = object_of(value)
     return RoutedService(
-        name=text_of(item["Name"]),
-        health_path=text_of(item.get("HealthPath", "")),
-        max_flows=count_of(item.get("ConnectionLimit", 0)),
-        cold_seconds=number_of(item.get("ColdStartS", 0)),
-        cold_flows_per_second=number_of(item.get("ColdPerS", 0)),
+        name=read(item, "Name", text_of),
+        health_path=read(item, "HealthPath", text_of, default=""),
+        max_flows=read(item, "ConnectionLimit", count_of, default=0),
+        cold_seconds=read(item, "ColdStartS", number_of, default=0),
+        cold_flows_per_second=read(item, "ColdPerS", number_of, default=0),
     )
 
 
 def _record(label: int, document: dict[str, Any]) -> UpstreamRecord:
     """Return a target's record; ``born`` is when it started."""
-    name_of(document["Version"])  # That of its software, which is not used.
-    address = address_of(document["Address"])
-    slots = count_of(document["Slots"])
-    if not 0 < slots <= MAXIMUM_SLOTS:
-        raise FieldError(value=slots, reason="no number of slots")
+    read(document, "Version", name_of)  # That of its software, which is not used.
+    address = read(document, "Address", address_of)
+    cold_ms = read(document, "ColdRemainingMs", number_of)
     return UpstreamRecord(
         identity=UpstreamId(
             address=address,
-            incarnation=count_of(document["born"]),
-            service=name_of(document["Service"]),
+            incarnation=read(document, "born", count_of),
+            service=read(document, "Service", name_of),
         ),
         request_address=address,
-        data_centre=name_of(document["Zone"]),
-        sequence=count_of(document["Sequence"]),
-        phase=PHASES[document["State"]],
-        slots=slots,
+        data_centre=read(document, "Zone", name_of),
+        sequence=read(document, "Sequence", count_of),
+        phase=read(document, "State", choice_of(PHASES)),
+        slots=read(document, "Slots", _slots),
         load=0,
         label=label,
-        cold_seconds=number_of(document["ColdRemainingMs"]) / MILLISECONDS,
+        cold_seconds=cold_ms / MILLISECONDS,
     )
+
+
+def _slots(value: Any) -> int:
+    slots = count_of(value)
+    if not 0 < slots <= MAXIMUM_SLOTS:
+        raise FieldError(reason="no number of slots")
+    return slots
--- a/src/chervilstage/platform/entry.py
+++ b/src/chervilstage/platform/entry.py
@@ -6,13 +6,19 @@
 from ..state.link import Link
 from ..state.types import Address, Peer
 from ..transport.application import Application
+from ..transport.metrics_endpoint import lazy_metrics_hooks
+from ..transport.readiness_endpoint import readiness_hooks
 from ..transport.token_entry import TokenEntry
 from .documents import decode_accepted
-from .metrics import METRICS_PORTS, platform_metrics_hooks
 from .packets import make_codec
-from .readiness import readiness_hooks
 from .settings import NodeSettings, required, settings_path
-from .shared import SHARED_KEY, entry_port, follow_seeds, make_application
+from .shared import (
+    METRICS_PORTS,
+    SHARED_KEY,
+    entry_port,
+    follow_seeds,
+    make_application,
+)
 
 
 def build_entry(settings: NodeSettings, started_at: float) -> Application:
@@ -40,9 +46,9 @@
     app = make_application(settings, started_at)
     entry.add_to(app)
     readiness = required(settings.readiness, "Ready")
-    app.add(readiness_hooks(readiness, entry.is_ready))
+    app.add(readiness_hooks(readiness, "/readiness", entry.is_ready))
     app.add(
-        platform_metrics_hooks(
+        lazy_metrics_hooks(
             address=Address(host=settings.host, port=METRICS_PORTS["entry"]),
             counters=counters,
             gauges=entry.gauges,
--- a/src/chervilstage/platform/settings.py
+++ b/src/chervilstage/platform/settings.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
-import json
 import os
-from contextlib import suppress
 from math import inf
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from ..errors.platform import FieldError
 from ..errors.settings import DocumentError, FileUnreadableError
-from ..protocol.json_fields import MALFORMED, address_of, count_of, number_of, reason_of
+from ..protocol.json_fields import (
+    MALFORMED,
+    address_of,
+    bool_of,
+    count_of,
+    each,
+    each_readable,
+    load_json,
+    number_of,
+    object_of,
+    read,
+    reason_of,
+    text_of,
+)
 from ..state.link import BYTES_PER_MEGABIT
 from ..state.types import Address
 
@@ -61,8 +72,7 @@
     :raises DocumentError: fields are missing or of another type.
     """
     try:
-        document = json.loads(path.read_bytes())
-        return _settings(document)
+        return _settings(object_of(load_json(path.read_bytes())))
     except OSError as error:
         raise FileUnreadableError(file=path, reason=error) from error
     except MALFORMED as error:
@@ -70,40 +80,42 @@
 
 
 def _settings(document: dict[str, Any]) -> NodeSettings:
-    listen, bounds = document["Listen"], document["Bounds"]
-    seeds, unread_seeds = _seeds(document["Seeds"])
+    listen = read(document, "Listen", object_of)
+    tolerance = read(document, "Tolerance", object_of)
+    bounds = read(document, "Bounds", object_of)
+    interval_ms = read(document, "HeartbeatIntervalMs", number_of)
+    seeds, unread_seeds = read(document, "Seeds", each_readable(address_of))
     return NodeSettings(
-        name=document["NodeName"],
-        data_centre=document["Zone"],
-        data_centres=frozenset(document["Zones"]),
-        host=document["IpAddress"],
-        internal_port=count_of(document["InternalPorts"][0]),
-        seeds=seeds,
+        name=read(document, "NodeName", text_of),
+        data_centre=read(document, "Zone", text_of),
+        data_centres=frozenset(read(document, "Zones", object_of)),
+        host=read(document, "IpAddress", text_of),
+        internal_port=read(document, "InternalPorts", _first_port),
+        seeds=tuple(seed.host for seed in seeds),
         unread_seeds=unread_seeds,
-        may_form=document["Bootstrap"],
-        tolerated_vms=count_of(document["Tolerance"]["Machines"]),
-        stop_seconds=number_of(bounds["GraceS"]),
-        announcement_seconds=number_of(document["HeartbeatIntervalMs"]) / MILLISECONDS,
-        data_folder=document.get("DataDirectory") or "",
+        may_form=read(document, "Bootstrap", bool_of),
+        tolerated_vms=read(tolerance, "Machines", count_of),
+        stop_seconds=read(bounds, "GraceS", number_of),
+        announcement_seconds=interval_ms / MILLISECONDS,
+        data_folder=read(document, "DataDirectory", _folder, default=None),
         packets=_address(listen, "DatagramAddress"),
         readiness=_address(listen, "Ready"),
         control=_address(listen, "Control"),
-        link_bytes_per_second=_link_rate(document.get("Limits", {})),
+        link_bytes_per_second=_link_rate(
+            read(document, "Limits", object_of, default={})
+        ),
     )
 
 
-def _seeds(texts: list[Any]) -> tuple[tuple[str, ...], int]:
-    """Return the hosts of seeds, and count those that cannot be read.
+def _first_port(value: Any) -> int:
+    ports = each(count_of)(value)
+    if not ports:
+        raise FieldError(reason="no port")
+    return ports[0]
 
-    :raises FieldError: none can.
-    """
-    hosts = []
-    for text in texts:
-        with suppress(FieldError):
-            hosts.append(address_of(text).host)
-    if texts and not hosts:
-        raise FieldError(value=len(texts), reason="no seed can be read")
-    return tuple(hosts), len(texts) - len(hosts)
+
+def _folder(value: Any) -> str:
+    return "" if value is None else text_of(value)
 
 
 def _link_rate(limits: dict[str, Any]) -> float:
@@ -113,14 +125,14 @@
     """
     if limits.get("LinkMbps") is None:
         return inf
-    megabits = number_of(limits["LinkMbps"])
+    megabits = read(limits, "LinkMbps", number_of)
     if not megabits:
-        raise FieldError(value=megabits, reason="no rate of a link")
+        raise FieldError(field="LinkMbps", reason="no rate of a link")
     return megabits * BYTES_PER_MEGABIT
 
 
 def _address(listen: dict[str, Any], key: str) -> Address | None:
-    return address_of(listen[key]) if listen.get(key) else None
+    return read(listen, key, address_of) if listen.get(key) else None
 
 
 def required(address: Address | None, key: str) -> Address:
@@ -129,5 +141,5 @@
     :raises FieldError: the settings do not have it.
     """
     if address is None:
-        raise FieldError(value=key, reason="missing in the settings of this role")
+        raise FieldError(field=f"Listen.{key}", reason="missing for this role")
     return address
--- a/src/chervilstage/platform/shared.py
+++ b/src/chervilstage/platform/shared.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 from pathlib import Path
 
-from ..errors import ChervilstageError
 from ..state.types import Address
 from ..transport.application import Application
-from ..transport.event_log import log_event
+from ..transport.listed_seeds import ListedSeeds, follow_listed
 from .settings import NodeSettings, read_settings
 
 # The platform hands out no secret, so the tag of messages only tells ours from strays.
 SHARED_KEY = b"chervilstage-platform"
+# The ports of the deploy file, by role.
+METRICS_PORTS = {"entry": 9464, "control": 9465}
 # Left for the end of the process after its drain.
 STOP_MARGIN_SECONDS = 1.0
 REPLICA_PORT_OFFSET = 0
@@ -50,26 +50,13 @@
 def follow_seeds(settings: NodeSettings, path: Path) -> Callable[[], list[Address]]:
     """Return a function that says where the replicas of the settings file are by now.
 
-    The file may change at any time and be read while it is written; the addresses of
-    the last whole one then stay in use.
+    :param path: the settings file, which may change at any time.
     """
-    known = replica_addresses(settings)
-
-    def listed() -> list[Address]:
-        """Return the addresses of the last whole settings file."""
-        nonlocal known
-        try:
-            newest = read_settings(path)
-            known = replica_addresses(newest)
-            if count := newest.unread_seeds:
-                log_event("seeds_unread", level=logging.WARNING, count=count)
-        except ChervilstageError as error:
-            log_event(
-                "settings_unread",
-                level=logging.WARNING,
-                code=error.code,
-                reason=error,
-            )
-        return known
-
-    return listed
+
+    def read() -> ListedSeeds:
+        """Read the seeds of the file as it is now."""
+        newest = read_settings(path)
+        addresses = replica_addresses(newest)
+        return ListedSeeds(addresses=addresses, unread=newest.unread_seeds)
+
+    return follow_listed(replica_addresses(settings), read)
--- a/src/chervilstage/state/routing.py
+++ b/src/chervilstage/state/routing.py
@@ -14,11 +14,17 @@
 
 
 class TrafficKind(StrEnum):
-    """What the requests inside the flows of a route are."""
+    """What the requests inside the flows of a route are.
+
+    Those of a download are idempotent and have large answers. Those of an unknown kind
+    may not be repeated.
+    """
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non-idempotent"
     UPLOAD = "upload"
+    DOWNLOAD = "download"
+    UNKNOWN = "unknown"
 
 
 class ServiceShare(NamedTuple):
--- a/src/chervilstage/platform/metrics.py
+++ b/src/chervilstage/transport/metrics_endpoint.py
@@ -1,4 +1,4 @@
-"""The metrics endpoint on the platform."""
+"""A metrics endpoint that loads its libraries with the first call."""
 
 from __future__ import annotations
 
@@ -8,17 +8,14 @@
 from ..state.counters import Counters
 from ..state.histograms import Histogram
 from ..state.types import Address
-from ..transport.application import Hooks
-from ..transport.http_endpoint import http_endpoint_hooks
+from .application import Hooks
+from .http_endpoint import http_endpoint_hooks
 
 if TYPE_CHECKING:
-    from ..transport.http_connection import HttpRequest, HttpResponse
+    from .http_connection import HttpRequest, HttpResponse
 
-# The ports of the deploy file, by role.
-METRICS_PORTS = {"entry": 9464, "control": 9465}
 
-
-def platform_metrics_hooks(
+def lazy_metrics_hooks(
     *,
     address: Address,
     counters: Counters,
@@ -33,7 +30,7 @@
 
     async def answer(request: HttpRequest) -> HttpResponse:
         """Answer one request with the counts of this moment."""
-        from ..transport.metrics import metrics_response
+        from .metrics import metrics_response
 
         return metrics_response(request, counters, gauges, durations)
 
--- a/src/chervilstage/platform/readiness.py
+++ b/src/chervilstage/transport/readiness_endpoint.py
@@ -1,4 +1,4 @@
-"""The platform's readiness check."""
+"""An endpoint that tells whether the fabric should send packets here."""
 
 from __future__ import annotations
 
@@ -6,19 +6,19 @@
 from typing import TYPE_CHECKING
 
 from ..state.types import Address
-from ..transport.application import Hooks
-from ..transport.http_endpoint import http_endpoint_hooks
+from .application import Hooks
+from .http_endpoint import http_endpoint_hooks
 
 if TYPE_CHECKING:
-    from ..transport.http_connection import HttpRequest, HttpResponse
+    from .http_connection import HttpRequest, HttpResponse
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_NOT_READY = 503
 
 
-def readiness_hooks(address: Address, is_ready: Callable[[], bool]) -> Hooks:
-    """Return the hooks of an endpoint that answers ``GET /readiness``.
+def readiness_hooks(address: Address, path: str, is_ready: Callable[[], bool]) -> Hooks:
+    """Return the hooks of an endpoint that answers ``GET`` of a path.
 
     Its libraries are loaded when packets are relayed already: an entry that restarts
     gets packets before it is ready.
@@ -26,9 +26,9 @@
 
     async def answer(request: HttpRequest) -> HttpResponse:
         """Answer one request with the readiness of this moment."""
-        from ..transport.http_connection import HttpResponse
+        from .http_connection import HttpResponse
 
-        if request.target != "/readiness":
+        if request.target != path:
             return HttpResponse(status=STATUS_NOT_FOUND, headers={}, body=b"")
         status = STATUS_OK if is_ready() else STATUS_NOT_READY
         return HttpResponse(status=status, headers={}, body=b"")
--- a/testing/platform/test_deploy.py
+++ b/testing/platform/test_deploy.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from chervilstage.platform.__main__ import ROLES
-from chervilstage.platform.metrics import METRICS_PORTS
+from chervilstage.platform.shared import METRICS_PORTS
 
 ROOT = Path(__file__).parent.parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
--- /dev/null
+++ b/testing/platform/test_kinds.py
@@ -0,0 +1,41 @@
+"""Kinds of requests in a configuration, with a real control daemon."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from testing.support.platform_fleet import PlatformFleet
+from testing.support.processes import wait_until
+
+from .test_documents import CONFIGURATION, ROUTE, encode
+
+WORDS = ("safe", "unsafe", "upload", "download", "another")
+
+
+def test_a_configuration_with_every_kind_is_accepted_and_read_back(
+    tmp_path: Path,
+) -> None:
+    """Guards against operators without any route for one word in a table."""
+    routes = [
+        {**ROUTE, "Name": f"r-{word}", "PathPrefix": f"/{8000 + number}/", "Kind": word}
+        for number, word in enumerate(WORDS)
+    ]
+    table = encode({**CONFIGURATION, "Routes": routes})
+    fleet = PlatformFleet(folder=tmp_path)
+    try:
+        control, entry = fleet.start("control"), fleet.start("entry")
+        fleet.wait_accepted("/configuration/put", table)
+        status, held = fleet.ask("GET", "/configuration/get", b"")
+        assert (status, json.loads(held)) == (200, json.loads(table))
+        wait_until(
+            lambda: entry.lines("configuration_in_force"),
+            "the entry puts the table in force",
+        )
+        status, refusal = fleet.ask("POST", "/configuration/put", table[:-9])
+        assert status == 400
+        assert b"no JSON at line 1" in refusal
+        assert b"Error:" not in refusal
+        assert control.lines("route_kinds_unknown")
+    finally:
+        fleet.close()
--- a/testing/support/platform_fleet.py
+++ b/testing/support/platform_fleet.py
@@ -70,14 +70,19 @@
 
     def call(self, path: str, body: bytes) -> int:
         """Send a call to the control daemon and return the status, 0 for none."""
+        return self.ask("POST", path, body)[0]
+
+    def ask(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        """Send a call and return the status, 0 for none, and the body."""
         connection = http.client.HTTPConnection(
             self.hosts["control"], CONTROL_PORT, timeout=CALL_SECONDS
         )
         try:
-            connection.request("POST", path, body=body)
-            return connection.getresponse().status
+            connection.request(method, path, body=body)
+            response = connection.getresponse()
+            return response.status, response.read()
         except (OSError, http.client.HTTPException):
-            return 0
+            return 0, b""
         finally:
             connection.close()
 
