Place new flows in the entry's own data centre first, with a spill by slots and latency

An upstream was chosen among those of all data centres, so with five of them four flows of five crossed a border that might be cut.

An upstream of the own data centre now counts half a request per slot less. The advantage is given up for a flow when the data centre has less than half of the mean slots (in proportion), when its answers take more than twice as long as those of the quickest other one, and for 1 in 32 flows, so that the latency elsewhere is known. Slowness is measured against the quickest data centre, since a median over slow upstreams calls none of them slow, and a slow answer loses its weight as it ages; before, an upstream that had been slow was never tried again. Upstreams of equal cost are drawn at random: the one that follows a run of busy ones in the list got their share as well.

Weighed: a fixed advantage alone (nothing spills in a large fleet, where an entry sees a fraction of a request at a time); the utilisation of the own slots from the number of entries (entries don't know how the fabric spreads callers); latency against the median of all known ones (blind when all near upstreams are slow).

--- a/src/chervilstage/coordination/flow_accounting.py
+++ b/src/chervilstage/coordination/flow_accounting.py
@@ -11,6 +11,7 @@
     learn_size,
     note_request_bytes,
 )
+from .locality import note_latency
 from .suspicion import note_answer, note_question, note_silence
 
 # An answer to an opening packet takes a few milliseconds; data that is repeated after
@@ -18,7 +19,6 @@
 STALL_SECONDS = 0.35
 # Callers have at most 16 packets of 1,200 bytes in flight.
 WINDOW_BYTES = 16 * 1200
-LATENCY_WEIGHT = 0.2
 # Twice the packets of a window.
 KEPT_COPIES = 32
 
@@ -34,9 +34,8 @@
     ):
         seconds = now - flow.busy_since
         state.latencies.observe(seconds)
-        load.latency += (LATENCY_WEIGHT if load.latency else 1.0) * (
-            seconds - load.latency
-        )
+        load.note_latency(seconds)
+        note_latency(state, flow.upstream, seconds)
         learn_size(state, flow, packet.front)
         finish_request(state, flow)
         note_answer(state, flow.upstream, now)
--- a/src/chervilstage/coordination/placement.py
+++ b/src/chervilstage/coordination/placement.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Sequence, Set as AbstractSet
+from math import exp
 from random import Random
+from statistics import median
 
 from ..state.routing import Route, RoutedService
 from ..state.token_flows import TokenRelayState, UpstreamLoad
 from ..state.types import Address, UpstreamRecord
+from .locality import prefers_own
 from .rendezvous import rendezvous_order
 from .suspicion import is_suspect
 
@@ -20,6 +24,11 @@
 # A held flow is likely to carry requests later on.
 HELD_FLOW_WEIGHT = 0.05
 SLOW_RATIO = 1.5
+# How much more than the least loaded one an upstream of the own data centre may have
+# to do, in requests per slot.
+OWN_ADVANTAGE = 0.5
+# An upstream that has been slow is tried again as its last answer ages.
+LATENCY_AGEING_SECONDS = 5.0
 
 
 def choose_service(route: Route, rng: Random) -> str:
@@ -51,9 +60,9 @@
     warm = [r for r in records if not is_cold(state, r, now)]
     lively = [r for r in warm if not _is_doubtful(state, r, now)]
     if lively:
-        return _least_loaded(state, lively, rng)
+        return _least_loaded(state, lively, now, rng)
     if warm:
-        return _least_loaded(state, warm, rng)
+        return _least_loaded(state, warm, now, rng)
     return _cold_trial(state, service, records, now)
 
 
@@ -78,22 +87,44 @@
 
 
 def _least_loaded(
-    state: TokenRelayState, records: Sequence[UpstreamRecord], rng: Random
+    state: TokenRelayState, records: Sequence[UpstreamRecord], now: float, rng: Random
 ) -> UpstreamRecord:
-    loads = [state.load_of(record) for record in records]
-    known = sorted(load.latency for load in loads if load.latency)
-    usual = SLOW_RATIO * known[len(known) // 2] if known else 0.0
-    start = rng.randrange(len(records))
-    order = [*range(start, len(records)), *range(start)]
-    best: int = min(order, key=lambda i: _cost(records[i], loads[i], usual))
-    return records[best]
+    """Return the upstream with the lowest cost; equal ones take turns at random."""
+    usual = SLOW_RATIO * _usual_latency(state, records)
+    own = state.data_centre if prefers_own(state, records, rng) else None
 
+    def cost(record: UpstreamRecord) -> tuple[float, float]:
+        """Return the expected wait of a new flow, and what orders equal ones."""
+        wait = _wait(record, state.load_of(record), usual, now)
+        if record.data_centre == own:
+            wait -= OWN_ADVANTAGE
+        return wait, rng.random()
 
-def _cost(record: UpstreamRecord, load: UpstreamLoad, usual: float) -> float:
+    return min(records, key=cost)
+
+
+def _usual_latency(state: TokenRelayState, records: Sequence[UpstreamRecord]) -> float:
+    """Return the latency of the quickest data centre, 0 if none is known.
+
+    A data centre whose upstreams are all slow, or all busy, is thereby seen as such.
+    """
+    known: defaultdict[str, list[float]] = defaultdict(list)
+    for record in records:
+        if latency := state.load_of(record).latency:
+            known[record.data_centre].append(latency)
+    return min(map(median, known.values()), default=0.0)
+
+
+def _wait(
+    record: UpstreamRecord, load: UpstreamLoad, usual: float, now: float
+) -> float:
     """Return the expected wait of a new flow, in requests per slot."""
-    slowness = max(1.0, load.latency / usual) if usual else 1.0
     pending = load.in_flight + HELD_FLOW_WEIGHT * load.flows + 1.0
-    return pending * slowness / record.slots
+    if usual and load.latency > usual:
+        age = max(0.0, now - load.answered_at)
+        excess = load.latency / usual - 1.0
+        pending *= 1.0 + excess * exp(-age / LATENCY_AGEING_SECONDS)
+    return pending / record.slots
 
 
 def _cold_trial(
--- a/src/chervilstage/state/token_flows.py
+++ b/src/chervilstage/state/token_flows.py
@@ -11,6 +11,7 @@
 from .types import Address, UpstreamRecord
 
 NEVER = float("-inf")
+LATENCY_WEIGHT = 0.2
 
 
 class TokenFlow:
@@ -108,6 +109,11 @@
         self.trial_tokens = 0.0
         self.trialled_at = NEVER
 
+    def note_latency(self, seconds: float) -> None:
+        """Smooth the time from a request to its answer."""
+        weight = LATENCY_WEIGHT if self.latency else 1.0
+        self.latency += weight * (seconds - self.latency)
+
 
 class Silence:
     """The upstreams of a data centre that left packets unanswered.
@@ -141,18 +147,26 @@
     warm. ``upstreams_from`` is when the first upstreams became known. ``silences``
     holds the data centres that leave packets unanswered. ``entries`` names the live
     entries. ``request_bytes`` holds the smoothed sizes of the requests of each route.
-    ``open_seconds`` and ``latencies`` count the times to the opening of flows
-    and to the answers of requests.
+    ``centre_latencies`` holds the smoothed times to the answers of a service in a data
+    centre, in seconds. ``open_seconds`` and ``latencies`` count the times to the
+    opening of flows and to the answers of requests.
 
     :param name: the name of this entry.
     :param announcement_seconds: how often upstreams announce themselves.
+    :param data_centre: where this entry is.
     :param link: what this entry sends on, one of unknown rate by default.
     """
 
     def __init__(
-        self, *, name: str, announcement_seconds: float, link: Link | None = None
+        self,
+        *,
+        name: str,
+        announcement_seconds: float,
+        data_centre: str = "",
+        link: Link | None = None,
     ) -> None:
         self.name = name
+        self.data_centre = data_centre
         self.announcement_seconds = announcement_seconds
         self.link = link or Link()
         self.routing: Routing | None = None
@@ -172,6 +186,7 @@
         self.flows: dict[bytes, TokenFlow] = {}
         self.silences: dict[str, Silence] = {}
         self.request_bytes: dict[Endpoint, float] = {}
+        self.centre_latencies: dict[tuple[str, str], float] = {}
         self.latencies = Histogram()
         self.open_seconds = Histogram()
         self.entries: tuple[str, ...] = (name,)
--- a/src/chervilstage/transport/token_entry.py
+++ b/src/chervilstage/transport/token_entry.py
@@ -65,7 +65,10 @@
         link: Link | None = None,
     ) -> None:
         self.state = TokenRelayState(
-            name=own.name, announcement_seconds=announcement_seconds, link=link
+            name=own.name,
+            announcement_seconds=announcement_seconds,
+            data_centre=own.data_centre,
+            link=link,
         )
         self.decode_routing = decode_routing
         self.revision = 0
--- /dev/null
+++ b/testing/support/placement_play.py
@@ -0,0 +1,190 @@
+"""A play of requests over data centres, placed by the real decisions of entries."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Mapping
+from random import Random
+from typing import NamedTuple
+
+from chervilstage.coordination.locality import note_latency
+from chervilstage.coordination.placement import choose_upstream
+from chervilstage.coordination.suspicion import note_answer, note_question, note_silence
+from chervilstage.state.types import Address, UpstreamRecord
+
+from .timeline import Timeline
+from .token_relays import SERVICE, RelayDriver, make_record
+
+# One way between data centres; within one it takes no time.
+AWAY_SECONDS = 0.0014
+COPY_SECONDS = 0.2
+ATTEMPTS = 3
+
+
+class Load(NamedTuple):
+    """What callers ask for, and of what.
+
+    ``upstreams`` and ``rates`` are by data centre: how many upstreams, and requests a
+    second. A request takes ``work_seconds`` of a slot. ``slow`` names data centres
+    whose upstreams take ten times as long, ``cut`` those that no other one reaches.
+    """
+
+    upstreams: Mapping[str, int]
+    rates: Mapping[str, float]
+    entries: int = 4
+    slots: int = 2
+    work_seconds: float = 0.055
+    slow: frozenset[str] = frozenset()
+    cut: frozenset[str] = frozenset()
+
+
+class SimulatedUpstream:
+    """Slots and a short queue; a request that finds both full gets no answer."""
+
+    def __init__(self, *, record: UpstreamRecord, slots: int) -> None:
+        self.record = record
+        self.free = slots
+        self.waiting: deque[SimulatedRequest] = deque()
+        self.longest_queue = 2 * slots
+
+
+class SimulatedRequest(NamedTuple):
+    """A request of a caller of an entry."""
+
+    entry: RelayDriver
+    sent_at: float
+    tried: frozenset[Address]
+
+
+class Outcome(NamedTuple):
+    """What became of the requests; ``seconds`` are sorted times to their answers."""
+
+    seconds: list[float]
+    failed: int
+    away: int
+    busiest_over_mean: float
+
+    def answered_within(self, seconds: float) -> float:
+        """Return the share of the requests that were answered within a time."""
+        in_time = sum(1 for taken in self.seconds if taken <= seconds)
+        return in_time / (len(self.seconds) + self.failed)
+
+    def away_share(self) -> float:
+        """Return the share of the requests placed in another data centre."""
+        return self.away / (len(self.seconds) + self.failed)
+
+
+class PlacementPlay:
+    """Requests over time.
+
+    :param prefers_own: whether entries know in which data centre they are.
+    """
+
+    def __init__(self, *, load: Load, seed: int, prefers_own: bool = True) -> None:
+        self.load = load
+        self.rng = Random(seed)
+        self.timeline = Timeline()
+        self.seconds: list[float] = []
+        self.failed = 0
+        self.away = 0
+        self.counts: Counter[Address] = Counter()
+        records = [
+            make_record(number, data_centre=name)._replace(slots=load.slots)
+            for number, name in enumerate(
+                (n for n, count in load.upstreams.items() for _ in range(count)), 1
+            )
+        ]
+        self.upstreams = {
+            r.identity.address: SimulatedUpstream(record=r, slots=load.slots)
+            for r in records
+        }
+        for name, rate in load.rates.items():
+            entries = [RelayDriver(records=records) for _ in range(load.entries)]
+            for entry in entries:
+                entry.state.data_centre = name if prefers_own else ""
+                entry.rng = Random(self.rng.random())
+            self.arrive(name, entries, rate)
+
+    def arrive(self, name: str, entries: list[RelayDriver], rate: float) -> None:
+        """Send a request through one of the entries, and the next one later."""
+
+        def send() -> None:
+            """Send one request."""
+            entry = self.rng.choice(entries)
+            request = SimulatedRequest(
+                entry=entry, sent_at=self.timeline.now, tried=frozenset()
+            )
+            self.place(name, request)
+            self.timeline.after(self.rng.expovariate(rate), send)
+
+        self.timeline.after(self.rng.expovariate(rate), send)
+
+    def place(self, name: str, request: SimulatedRequest) -> None:
+        """Place a request, or its copy after one that was not answered."""
+        state, now = request.entry.state, self.timeline.now
+        record = choose_upstream(state, SERVICE, request.tried, now, request.entry.rng)
+        if record is None or len(request.tried) >= ATTEMPTS:
+            self.failed += 1
+            return
+        state.load_of(record).in_flight += 1
+        note_question(state, record, now)
+        upstream = self.upstreams[record.identity.address]
+        is_away = record.data_centre != name
+        cut = self.load.cut
+        is_lost = is_away and bool({record.data_centre, name} & cut)
+        is_full = len(upstream.waiting) >= upstream.longest_queue
+        if is_lost or (not upstream.free and is_full):
+            self.timeline.after(COPY_SECONDS, lambda: self.retry(name, request, record))
+            return
+        self.away += is_away
+        self.counts[record.identity.address] += 1
+        if upstream.free:
+            self.begin(upstream, request)
+        else:
+            upstream.waiting.append(request)
+
+    def retry(
+        self, name: str, request: SimulatedRequest, record: UpstreamRecord
+    ) -> None:
+        """Give up on an upstream that did not answer, and try another one."""
+        state = request.entry.state
+        note_silence(state, record, self.timeline.now)
+        state.load_of(record).in_flight -= 1
+        tried = request.tried | {record.identity.address}
+        self.place(name, request._replace(tried=tried))
+
+    def begin(self, upstream: SimulatedUpstream, request: SimulatedRequest) -> None:
+        """Run a request in a slot."""
+        upstream.free -= 1
+        slowness = 10.0 if upstream.record.data_centre in self.load.slow else 1.0
+        mean = slowness * self.load.work_seconds
+        seconds = mean * self.rng.uniform(0.8, 1.2)
+        self.timeline.after(seconds, lambda: self.answer(upstream, request))
+
+    def answer(self, upstream: SimulatedUpstream, request: SimulatedRequest) -> None:
+        """Answer a request and begin the next one."""
+        state, now = request.entry.state, self.timeline.now
+        record = upstream.record
+        taken = now - request.sent_at
+        if record.data_centre != state.data_centre:
+            taken += 2 * AWAY_SECONDS
+        load = state.load_of(record)
+        load.in_flight -= 1
+        load.note_latency(taken)
+        note_latency(state, record, taken)
+        note_answer(state, record, now)
+        self.seconds.append(taken)
+        upstream.free += 1
+        if upstream.waiting:
+            self.begin(upstream, upstream.waiting.popleft())
+
+    def play(self, seconds: float) -> Outcome:
+        """Play some seconds and return what became of the requests."""
+        self.timeline.play(seconds)
+        mean = sum(self.counts.values()) / len(self.upstreams)
+        return Outcome(
+            seconds=sorted(self.seconds),
+            failed=self.failed,
+            away=self.away,
+            busiest_over_mean=max(self.counts.values()) / mean,
+        )
