Use a connection to an upstream again only where answers name their attempt

Operators of similar systems saw a server send a second copy of an answer, late, on a connection in use again; the next caller got an answer that was not its own. It could happen here: an upstream that does not repeat the attempt's id was matched by its connection alone, and so was an answer without an id on a connection whose answers had named theirs.

Checking that a kept connection has no unasked data before it is used (as before) does not help: the copy may come after the request was sent. Now a connection is kept only if its last answer named the attempt, and an answer without a name is refused on a kept connection. Upstreams that name nothing get a connection for each request.

--- a/src/chervilstage/transport/http_connection.py
+++ b/src/chervilstage/transport/http_connection.py
@@ -45,6 +45,9 @@
 class HttpConnection:
     """One end of an HTTP/1.1 connection.
 
+    ``names_attempts`` tells that the last answer on it named the attempt that it is of,
+    so that an answer to an earlier attempt would be noticed.
+
     :param stream: the byte stream underneath.
     :param role: ``h11.CLIENT`` or ``h11.SERVER``.
     """
@@ -54,6 +57,7 @@
         self.codec = h11.Connection(
             role, max_incomplete_event_size=MAXIMUM_HEADER_BYTES
         )
+        self.names_attempts = False
 
     async def send(self, event: h11.Event) -> None:
         """Send one event.
--- a/src/chervilstage/transport/service_requests.py
+++ b/src/chervilstage/transport/service_requests.py
@@ -140,9 +140,11 @@
         note_permit(self.load, anyio.current_time())
         return permit
 
-    async def run_whole(self, request: OutgoingRequest, deadline: float) -> Outcome:
-        """Send a request that is not idempotent and return its whole answer."""
-        begun = await self.begin(request, deadline, idempotent=False)
+    async def run_whole(
+        self, request: OutgoingRequest, deadline: float, idempotent: bool = False
+    ) -> Outcome:
+        """Send a request and return its whole answer."""
+        begun = await self.begin(request, deadline, idempotent)
         if not isinstance(begun, Exchange):
             return begun
         result = AttemptResult.FAILED
--- a/src/chervilstage/transport/upstream_exchange.py
+++ b/src/chervilstage/transport/upstream_exchange.py
@@ -142,7 +142,7 @@
         response = await unless_caller_leaves(request.caller, read)
     else:
         response = await read()
-    _check_identity(response, attempt_id)
+    _check_identity(connection, response, attempt_id)
     return response
 
 
@@ -170,10 +170,21 @@
     return event
 
 
-def _check_identity(response: h11.Response, attempt_id: str) -> None:
+def _check_identity(
+    connection: HttpConnection, response: h11.Response, attempt_id: str
+) -> None:
+    """Check that an answer is that of this attempt.
+
+    Without a name only the first answer on a connection is known to be.
+
+    :raises AnswerCrossedError: it is, or may be, that of another attempt.
+    """
     found = dict(response.headers).get(ATTEMPT_ID_HEADER.encode())
-    if found is not None and found != attempt_id.encode():
-        raise AnswerCrossedError(found=found.decode("latin-1"), expected=attempt_id)
+    is_named = found is not None
+    if found != attempt_id.encode() and (is_named or connection.names_attempts):
+        shown = found.decode("latin-1") if found else "none"
+        raise AnswerCrossedError(found=shown, expected=attempt_id)
+    connection.names_attempts = is_named
 
 
 def _judge(response: h11.Response) -> Ended | None:
--- a/src/chervilstage/transport/upstream_pool.py
+++ b/src/chervilstage/transport/upstream_pool.py
@@ -63,9 +63,14 @@
         return HttpConnection(stream=stream, role=h11.CLIENT)
 
     async def give(self, upstream: UpstreamRecord, connection: HttpConnection) -> None:
-        """Keep a connection whose exchange is complete, or close it."""
+        """Keep a connection whose exchange is complete, or close it.
+
+        An upstream that does not name the attempt of an answer may send a second copy
+        of it, which would pass for the answer to the next request.
+        """
         kept = self.idle[upstream.identity]
-        if len(kept) < MAXIMUM_IDLE and connection.can_continue():
+        may_keep = connection.names_attempts and connection.can_continue()
+        if len(kept) < MAXIMUM_IDLE and may_keep:
             item = IdleConnection(connection=connection, since=anyio.current_time())
             kept.append(item)
         else:
