End no answer early as if it were whole, unless its upstream declares it a feed

Operators of similar systems saw answers that broke off halfway reach the caller as a complete success. It could happen here: an answer in chunks that lasted more than 1 s counted as a feed, and a planned stop ended it with a last chunk.

Only an answer whose upstream sets Chervilstage-Feed is a feed now; it gives its permit back after 1 s and ends cleanly at a stop. Any other answer keeps its permit and is cut at the bound of the stop, without its last chunk.

testing/transport/test_broken_answers.py lets an upstream, the entry, or a stop break answers off in ten ways; the long download at a planned stop failed before. The other nine passed: length not reached, no last chunk, cut inside a chunk, resets in head and body, neither length nor chunks, an entry that ends.

--- a/src/chervilstage/protocol/request_headers.py
+++ b/src/chervilstage/protocol/request_headers.py
@@ -13,6 +13,9 @@
 ATTEMPT_HEADER = "chervilstage-attempt"
 ATTEMPT_ID_HEADER = "chervilstage-attempt-id"
 OUTCOME_HEADER = "chervilstage-outcome"
+# An upstream sets it on an answer whose records stand alone, so that it has no end
+# which a reader would miss.
+FEED_HEADER = "chervilstage-feed"
 CODE_HEADER = "chervilstage-code"
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
--- a/src/chervilstage/transport/answer_relay.py
+++ b/src/chervilstage/transport/answer_relay.py
@@ -10,7 +10,7 @@
 from ..coordination.admission import MAXIMUM_FEEDS
 from ..errors import ChervilstageError
 from ..errors.requests import CallerLeftError, MalformedRequestError
-from ..protocol.request_headers import end_to_end
+from ..protocol.request_headers import FEED_HEADER, end_to_end
 from ..state.capacity import AttemptResult
 from .caller_watch import unless_caller_leaves
 from .http_connection import HttpConnection
@@ -18,12 +18,22 @@
 from .upstream_exchange import CLOSED, Exchange, answer_chunks
 from .upstream_pool import discard
 
-# An answer in chunks that lasts longer is a feed: it gives its permit back, since
-# upstreams bear many more open feeds than requests at once.
+# A feed that lasts longer gives its permit back, since upstreams bear many more open
+# feeds than requests at once.
 FEED_AFTER_SECONDS = 1.0
 SEND_SECONDS = 30.0
 
 
+def is_declared_feed(response: h11.Response) -> bool:
+    """Tell whether an upstream says that an answer is a feed.
+
+    Any other answer has to reach its own end: one in chunks that is ended early would
+    look whole.
+    """
+    headers = dict(response.headers)
+    return b"transfer-encoding" in headers and FEED_HEADER.encode() in headers
+
+
 class AnswerRelay:
     """The relaying of one answer.
 
@@ -89,9 +99,8 @@
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=response.status_code, headers=headers)
         await self.send(head)
-        chunked = b"transfer-encoding" in dict(response.headers)
         async with anyio.create_task_group() as group:
-            if chunked:
+            if is_declared_feed(response):
                 group.start_soon(self.watch_feed, group.cancel_scope)
             await self.pass_body()
             group.cancel_scope.cancel()
@@ -124,7 +133,7 @@
             raise CallerLeftError(reason=type(error).__name__) from error
 
     async def watch_feed(self, scope: anyio.CancelScope) -> None:
-        """Treat a long answer as a feed, which ends cleanly at a planned stop."""
+        """Give the permit of a long feed back, and end it cleanly at a planned stop."""
         await anyio.sleep(FEED_AFTER_SECONDS)
         if self.requests.load.feeds < MAXIMUM_FEEDS:
             self.is_feed = True
--- a/src/chervilstage/transport/standin_requests.py
+++ b/src/chervilstage/transport/standin_requests.py
@@ -24,6 +24,7 @@
 )
 from ..errors import ChervilstageError
 from ..errors.requests import MalformedRequestError
+from ..protocol.request_headers import FEED_HEADER
 from ..state.load_packets import UpstreamName
 from ..state.standin import StandinState
 from .http_connection import READ_BYTES, HttpConnection, HttpResponse, header_map
@@ -247,6 +248,7 @@
         headers = [
             ("content-type", "text/plain"),
             ("transfer-encoding", "chunked"),
+            (FEED_HEADER, "1"),
             ("load-upstream", self.name.address),
         ]
         self.state.count(feeds=1)
--- /dev/null
+++ b/testing/transport/test_broken_answers.py
@@ -0,0 +1,177 @@
+"""Answers that break off before their end, and what their callers see."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import anyio
+import h11
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from chervilstage.state.configuration import Service
+from chervilstage.state.counters import Counters
+from chervilstage.transport.answer_relay import FEED_AFTER_SECONDS
+from chervilstage.transport.http_front import HttpFrontEnd
+from testing.support.raw_upstreams import HOST, Answer, RawUpstream, make_requests
+
+SERVICE = Service(name="boards", data_centres=("gl-erie",), udp_port=0, tcp_port=0)
+REQUEST = b"GET /free HTTP/1.1\r\nhost: boards\r\n\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n"
+CHUNK = b"5\r\nfirst\r\n"
+END_WITH_RESET = struct.pack("ii", 1, 0)
+LONG_SECONDS = 30.0
+
+Act = Callable[[HttpFrontEnd], Awaitable[None]]
+
+
+async def nothing(front_end: HttpFrontEnd) -> None:
+    """Leave the front end alone."""
+
+
+async def stop(front_end: HttpFrontEnd) -> None:
+    """Stop the front end as planned, after what counts as a feed, up to its bound."""
+    await anyio.sleep(1.2 * FEED_AFTER_SECONDS)
+    front_end.stopping = True
+    front_end.feeds_end.set()
+
+
+def send(*parts: bytes, seconds: float = 0.0, resets: bool = False) -> Answer:
+    """Return how an upstream sends parts of an answer and closes the connection.
+
+    :param seconds: how long it waits before it closes.
+    :param resets: whether it resets the connection.
+    """
+
+    async def answer(
+        upstream: RawUpstream, stream: SocketStream, attempt: bytes, number: int
+    ) -> None:
+        for part in parts:
+            await stream.send(part)
+            await anyio.sleep(0.01)
+        await anyio.sleep(seconds)
+        raw: socket.socket = stream.extra(SocketAttribute.raw_socket)
+        if resets:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, END_WITH_RESET)
+        raise anyio.EndOfStream
+
+    return answer
+
+
+async def call(answer: Answer, act: Act) -> bytes:
+    """Return all bytes that a caller gets of an answer of an upstream.
+
+    The entry ends a moment after the act at the latest, as after the bound of a stop.
+    """
+    received = b""
+    async with anyio.create_task_group() as group:
+        record = await RawUpstream(answer=answer).start(group)
+        counters = Counters()
+        front_end = HttpFrontEnd(
+            host=HOST,
+            service=SERVICE,
+            requests=make_requests(record),
+            counters=counters,
+            submit=never,
+        )
+        listener = await anyio.create_tcp_listener(local_host=HOST, local_port=0)
+        port = listener.listeners[0].extra(SocketAttribute.local_port)
+        entry = anyio.CancelScope()
+
+        async def serve() -> None:
+            with entry:
+                await listener.serve(front_end.serve_connection)
+
+        async def end() -> None:
+            await act(front_end)
+            await anyio.sleep(0.3)
+            entry.cancel()
+
+        group.start_soon(serve)
+        group.start_soon(end)
+        async with await anyio.connect_tcp(HOST, port) as caller:
+            await caller.send(REQUEST)
+            try:
+                while True:
+                    received += await caller.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                pass
+        group.cancel_scope.cancel()
+    return received
+
+
+async def never(_: object) -> object:
+    """Stand in for keyed requests, which these callers do not send."""
+    raise AssertionError("no request of these tests has a key")
+
+
+def is_whole_success(received: bytes) -> bool:
+    """Tell whether a caller takes bytes for a complete successful answer."""
+    codec = h11.Connection(h11.CLIENT)
+    codec.send(h11.Request(method="GET", target="/free", headers=[("host", "boards")]))
+    codec.send(h11.EndOfMessage())
+    codec.receive_data(received)
+    if received:
+        codec.receive_data(b"")
+    is_success = False
+    try:
+        while True:
+            event = codec.next_event()
+            if isinstance(event, h11.Response):
+                is_success = event.status_code < 300
+            elif isinstance(event, h11.EndOfMessage):
+                return is_success
+            elif not isinstance(event, h11.Data):
+                return False
+    except h11.RemoteProtocolError:
+        return False
+
+
+BROKEN: dict[str, tuple[Answer, Act]] = {
+    "length not reached": (send(HEAD + b"content-length: 9\r\n\r\n", b"part"), nothing),
+    "no last chunk": (send(CHUNKED + b"\r\n", CHUNK), nothing),
+    "cut inside a chunk": (send(CHUNKED + b"\r\n", CHUNK, b"9\r\npart"), nothing),
+    "reset after the head": (send(CHUNKED + b"\r\n", resets=True), nothing),
+    "reset in the body": (send(CHUNKED + b"\r\n", CHUNK, resets=True), nothing),
+    "reset in the head": (send(HEAD, resets=True), nothing),
+    "neither length nor chunks": (send(HEAD + b"\r\n", b"part"), nothing),
+    "entry ends in the body": (
+        send(HEAD + b"content-length: 9\r\n\r\n", b"part", seconds=LONG_SECONDS),
+        nothing,
+    ),
+    "long download at a planned stop": (
+        send(CHUNKED + b"\r\n", CHUNK, seconds=LONG_SECONDS),
+        stop,
+    ),
+    "feed that its upstream cuts": (
+        send(CHUNKED + b"chervilstage-feed: 1\r\n\r\n", CHUNK),
+        nothing,
+    ),
+}
+
+
+@pytest.mark.parametrize(("answer", "act"), BROKEN.values(), ids=BROKEN.keys())
+def test_an_answer_that_breaks_off_never_looks_whole(answer: Answer, act: Act) -> None:
+    """Guards against a caller that takes a part of an answer for all of it."""
+    received = anyio.run(call, answer, act)
+    assert not is_whole_success(received), received
+
+
+def test_a_declared_feed_ends_cleanly_at_a_planned_stop() -> None:
+    """Guards against a feed that looks cut although its records stand alone."""
+    answer = send(
+        CHUNKED + b"chervilstage-feed: 1\r\n\r\n", CHUNK, seconds=LONG_SECONDS
+    )
+    assert is_whole_success(anyio.run(call, answer, stop))
+
+
+def test_a_whole_answer_looks_whole() -> None:
+    """Guards against a check that takes no answer for whole."""
+    for answer in (
+        send(HEAD + b"content-length: 4\r\n\r\n", b"part"),
+        send(CHUNKED + b"\r\n", CHUNK, b"0\r\n\r\n"),
+    ):
+        assert is_whole_success(anyio.run(call, answer, nothing))
