--- a/testing/programs/test_request_faults.py
+++ b/testing/programs/test_request_faults.py
@@ -206,6 +206,7 @@
     connection = http.client.HTTPConnection(entry.host, TCP_PORT, timeout=30)
     connection.request("GET", "/feed")
     answer = connection.getresponse()
+    assert answer.status == 200, (answer.status, answer.headers.items())
     assert answer.readline() == b"free alleys 1\n"
     assert answer.readline() == b"free alleys 2\n"
     cell.running[entry.name].process.terminate()
