Answer the calls of operators and upstreams that were sent before a planned stop

Operators of similar systems saw requests that had just been accepted cut off without an answer during a planned stop. The front ends of callers were safe (testing/transport/test_http_front.py, test_accepting.py); the other listening ports were not: the endpoints for operators, announcements, readiness and metrics had no drain at all. The daemon's task group was cancelled with calls in work, and the listener closed with connections that waited to be accepted. A change could be accepted and its operator told nothing.

The endpoints now drain first: they accept what waits, answer what was sent (0.3 s for a connection without a request, 2 s in all), with Connection: close. What the front ends did for this moves to OpenConnections, which both use. TLS is handled per connection, so that the same listener loop serves it.

--- a/src/chervilstage/transport/control_server.py
+++ b/src/chervilstage/transport/control_server.py
@@ -7,7 +7,6 @@
 from ssl import SSLContext
 
 import anyio
-from anyio.abc import TaskGroup
 
 from ..errors.access import OperatorKeyError
 from ..protocol.configuration_records import encode_configuration
@@ -27,7 +26,8 @@
 from .event_log import log_event
 from .frame_channel import FrameServer
 from .http_connection import HttpRequest, HttpResponse
-from .http_server import error_response, start_http_server
+from .http_endpoint import http_endpoint_hooks
+from .http_server import error_response
 from .leader_calls import LeaderCalls
 from .operator_calls import OperatorCalls
 
@@ -114,13 +114,11 @@
         )
         return _response(await self.leader_calls.perform(call))
 
-    async def start(self, group: TaskGroup) -> None:
-        """Begin to listen for operators."""
-        await start_http_server(group, self.operator_address, self.answer, self.tls)
-
     def hooks(self) -> Hooks:
         """Return the life-cycle hooks."""
-        return Hooks(name="control_server", start=self.start)
+        return http_endpoint_hooks(
+            "control_server", self.operator_address, self.answer, self.tls
+        )
 
 
 def _response(answer: OperatorAnswer) -> HttpResponse:
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -101,6 +101,7 @@
     )
     for part in parts:
         app.add(part.hooks())
+    app.add(services.registration.endpoint_hooks())
     return app
 
 
--- a/src/chervilstage/transport/http_front.py
+++ b/src/chervilstage/transport/http_front.py
@@ -35,22 +35,14 @@
 from .event_log import log_event
 from .http_connection import HttpConnection, HttpResponse, header_map
 from .http_server import send_response
+from .open_connections import OpenConnections
 from .outcome_responses import failure_response, outcome_response
 from .request_body import check_head, read_prefix, read_whole
 from .service_requests import ServiceRequests
 from .upstream_exchange import CLOSED, Exchange, OutgoingRequest
 
-IDLE_SECONDS = 60.0
-# A caller that has just connected is about to send; one on a busy VM takes a while.
-FIRST_REQUEST_SECONDS = 2.0
-# Long enough for the loop to read what has arrived already.
-LAST_READ_SECONDS = 0.05
 MAXIMUM_TIMEOUT_MS = 3_600_000
 
-# A feed counts as one only some time after its request; this bounds how late that
-# is noticed.
-QUIET_POLL_SECONDS = 0.1
-
 SubmitKeyed = Callable[[KeyedRequest], Awaitable[Outcome]]
 
 
@@ -75,14 +67,8 @@
         self.requests = requests
         self.counters = counters
         self.submit = submit
-        self.stopping = False
-        self.closing_idle = False
         self.feeds_end = anyio.Event()
-        # Whether the connection that waits in a scope has had no request yet.
-        self.idle_scopes: dict[CancelScope, bool] = {}
-        self.serving = 0
-        self.quiet = anyio.Event()
-        self.listening = CancelScope()
+        self.connections = OpenConnections()
 
     async def serve_connection(self, stream: ByteStream) -> None:
         """Relay the requests of one caller's connection."""
@@ -122,15 +108,11 @@
     async def serve_request(self, connection: HttpConnection, is_first: bool) -> bool:
         """Relay one request and tell whether the connection can go on."""
         try:
-            request = await self.next_request(connection, is_first)
+            request = await self.connections.next_request(connection, is_first)
             if request is None:
                 return False
-            self.serving += 1
-            try:
+            with self.connections.request():
                 await self.relay(connection, request)
-            finally:
-                self.serving -= 1
-                self.tell_if_quiet()
         except CallerLeftError as error:
             self.note_failure(error)
             return False
@@ -139,22 +121,7 @@
             if connection.codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
                 return False
             await self.reply(connection, failure_response(error))
-        return not self.stopping and connection.can_continue()
-
-    async def next_request(
-        self, connection: HttpConnection, is_first: bool
-    ) -> h11.Request | None:
-        """Return the caller's next request, if one comes before a stop."""
-        seconds = FIRST_REQUEST_SECONDS if self.closing_idle else IDLE_SECONDS
-        with anyio.move_on_after(seconds) as scope:
-            self.idle_scopes[scope] = is_first
-            try:
-                event = await connection.next_event()
-            finally:
-                del self.idle_scopes[scope]
-                self.tell_if_quiet()
-            return event if isinstance(event, h11.Request) else None
-        return None
+        return not self.connections.stopping and connection.can_continue()
 
     def note_failure(self, error: ChervilstageError) -> None:
         """Count and log a request that failed."""
@@ -201,7 +168,7 @@
             requests=self.requests,
             exchange=begun,
             caller=caller,
-            stopping=lambda: self.stopping,
+            stopping=lambda: self.connections.stopping,
             feeds_end=self.feeds_end,
         )
         await relay.run()
@@ -258,7 +225,7 @@
 
     async def reply(self, caller: HttpConnection, response: HttpResponse) -> None:
         """Send a whole response, the last one of the connection at a stop."""
-        if self.stopping:
+        if self.connections.stopping:
             headers = {**response.headers, "connection": "close"}
             response = response._replace(headers=headers)
         await send_response(caller, response)
@@ -279,7 +246,10 @@
         with scope:
             async with anyio.create_task_group() as group, listener:
                 await accept_until_stopped(
-                    listener, self.serve_connection, group, self.listening
+                    listener,
+                    self.serve_connection,
+                    group,
+                    self.connections.listening,
                 )
 
     def start(self, group: TaskGroup) -> CancelScope:
@@ -288,28 +258,10 @@
         group.start_soon(self.listen, scope)
         return scope
 
-    def stop_listening(self) -> None:
-        """Accept no further connections; those that are open go on."""
-        self.listening.cancel()
-
-    def close_idle(self) -> None:
-        """End the connections on which no request comes."""
-        self.closing_idle = True
-        now = anyio.current_time()
-        for scope, is_first in self.idle_scopes.items():
-            seconds = FIRST_REQUEST_SECONDS if is_first else LAST_READ_SECONDS
-            scope.deadline = min(scope.deadline, now + seconds)
-
-    def tell_if_quiet(self) -> None:
-        """Wake the stop if no connection has a request or may still send one."""
-        if not self.serving and not self.idle_scopes:
-            self.quiet.set()
-
     async def wait_quiet(self, feeds_too: bool) -> None:
-        """Wait until no request is left or may still come, or only feeds."""
-        while self.idle_scopes or self.serving > (
-            0 if feeds_too else self.requests.load.feeds
-        ):
-            self.quiet = anyio.Event()
-            with anyio.move_on_after(QUIET_POLL_SECONDS):
-                await self.quiet.wait()
+        """Wait until no request is left or may still come, or only feeds.
+
+        An answer counts as a feed only some time after its request.
+        """
+        load = self.requests.load
+        await self.connections.wait_quiet(lambda: 0 if feeds_too else load.feeds)
--- a/src/chervilstage/transport/http_server.py
+++ b/src/chervilstage/transport/http_server.py
@@ -5,16 +5,18 @@
 import logging
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from ssl import SSLContext
-from typing import Any
+from ssl import SSLContext, SSLError
 
 import anyio
 import h11
-from anyio.abc import ByteStream, Listener, TaskGroup
-from anyio.streams.tls import TLSListener
+from anyio import BrokenResourceError, EndOfStream
+from anyio.abc import ByteStream, SocketListener, TaskGroup
+from anyio.streams.tls import TLSStream
 
 from ..errors import ChervilstageError
 from ..state.types import Address
+from .accepting import accept_until_stopped
+from .application import StopHook
 from .arrival_bound import ArrivalBound
 from .call_arrival import arrival_of, idle_arrivals, watch_arrivals
 from .event_log import log_event
@@ -25,9 +27,13 @@
     header_list,
     header_map,
 )
+from .open_connections import IDLE_SECONDS, LAST_READ_SECONDS, OpenConnections
 
-IDLE_SECONDS = 60.0
 MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+HANDSHAKE_SECONDS = 10.0
+# Callers in the same fabric send at once; the whole stop of a daemon takes seconds.
+FIRST_REQUEST_SECONDS = 0.3
+DRAIN_SECONDS = 2.0
 
 HttpHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -37,73 +43,139 @@
     address: Address,
     handler: HttpHandler,
     tls: SSLContext | None = None,
-) -> None:
-    """Bind an address and answer requests with the handler until cancelled.
+) -> StopHook:
+    """Bind an address, answer requests with the handler, and return how to drain it.
+
+    A drain accepts no further connections, and answers each request that was sent on
+    those that callers had opened by then.
 
     :param tls: the certificate and key to serve over TLS, if any.
     """
-    listener: Listener[Any] = await anyio.create_tcp_listener(
-        local_host=address.host, local_port=address.port
-    )
-    if tls is not None:
-        listener = TLSListener(listener, tls, standard_compatible=False)
-
+    (listener,) = (
+        await anyio.create_tcp_listener(
+            local_host=address.host, local_port=address.port
+        )
+    ).listeners
+    assert isinstance(listener, SocketListener)
     arrivals = idle_arrivals()
+    connections = OpenConnections(first_request_seconds=FIRST_REQUEST_SECONDS)
+    ended = anyio.Event()
 
     async def serve(stream: ByteStream) -> None:
         """Answer the requests of one connection with the handler."""
-        await serve_http(stream, handler, arrivals)
+        if tls is not None:
+            wrapped = await _handshake(stream, tls)
+            if wrapped is None:
+                return
+            stream = wrapped
+        await serve_http(stream, handler, arrivals, connections)
+
+    async def listen() -> None:
+        """Accept connections until the drain."""
+        async with listener:
+            await accept_until_stopped(listener, serve, group, connections.listening)
+        ended.set()
+
+    async def drain() -> None:
+        """Answer what has been sent, and close the connections."""
+        connections.stopping = True
+        connections.stop_listening()
+        await ended.wait()
+        # The connections that were accepted last begin to wait for a request.
+        await anyio.sleep(LAST_READ_SECONDS)
+        connections.close_idle()
+        with anyio.move_on_after(DRAIN_SECONDS):
+            await connections.wait_quiet()
 
     group.start_soon(watch_arrivals, arrivals)
-    group.start_soon(listener.serve, serve)
+    group.start_soon(listen)
+    return drain
+
+
+async def _handshake(stream: ByteStream, tls: SSLContext) -> ByteStream | None:
+    """Return the stream over TLS, None if the caller does not speak it."""
+    try:
+        with anyio.fail_after(HANDSHAKE_SECONDS):
+            return await TLSStream.wrap(
+                stream, server_side=True, ssl_context=tls, standard_compatible=False
+            )
+    except (TimeoutError, SSLError, EndOfStream, BrokenResourceError, OSError) as error:
+        log_event("handshake_failed", level=logging.WARNING, reason=error)
+        await anyio.aclose_forcefully(stream)
+        return None
 
 
 async def serve_http(
-    stream: ByteStream, handler: HttpHandler, arrivals: ArrivalBound | None = None
+    stream: ByteStream,
+    handler: HttpHandler,
+    arrivals: ArrivalBound | None = None,
+    connections: OpenConnections | None = None,
 ) -> None:
     """Answer the requests of one connection.
 
     :param arrivals: bounds how long requests may have waited, if stalls are watched.
+    :param connections: those of the listener, if it has any other.
     """
+    among = connections or OpenConnections()
     async with stream:
         connection = HttpConnection(stream=stream, role=h11.SERVER)
+        is_first = True
         with suppress(
             anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError
         ):
-            while await _serve_one(connection, handler, arrivals):
-                pass
+            while await _serve_one(connection, handler, arrivals, among, is_first):
+                is_first = False
 
 
 async def _serve_one(
-    connection: HttpConnection, handler: HttpHandler, arrivals: ArrivalBound | None
+    connection: HttpConnection,
+    handler: HttpHandler,
+    arrivals: ArrivalBound | None,
+    among: OpenConnections,
+    is_first: bool,
 ) -> bool:
     try:
-        with anyio.fail_after(IDLE_SECONDS):
-            request = await _read_request(connection)
-        if request is None:
+        head = await among.next_request(connection, is_first)
+        if head is None:
             return False
-        arrival = arrival_of(connection.stream, arrivals)
-        response = await handler(request._replace(arrival=arrival))
+        with among.request():
+            response = await _answer(connection, head, handler, arrivals)
+            await _respond(connection, response, among)
     except ChervilstageError as error:
         log_event(
             "request_refused", level=logging.WARNING, code=error.code, reason=error
         )
-        response = error_response(400, error)
-    await send_response(connection, response)
-    return connection.can_continue()
+        await _respond(connection, error_response(400, error), among)
+    return not among.stopping and connection.can_continue()
 
 
-async def _read_request(connection: HttpConnection) -> HttpRequest | None:
-    event = await connection.next_event()
-    if not isinstance(event, h11.Request):
-        return None
-    body = await connection.read_body(MAXIMUM_BODY_BYTES)
-    return HttpRequest(
-        method=event.method.decode("ascii"),
-        target=event.target.decode("ascii"),
-        headers=header_map(event.headers),
+async def _answer(
+    connection: HttpConnection,
+    head: h11.Request,
+    handler: HttpHandler,
+    arrivals: ArrivalBound | None,
+) -> HttpResponse:
+    """Return the answer of the handler to a request whose head has come."""
+    with anyio.fail_after(IDLE_SECONDS):
+        body = await connection.read_body(MAXIMUM_BODY_BYTES)
+    request = HttpRequest(
+        method=head.method.decode("ascii"),
+        target=head.target.decode("ascii"),
+        headers=header_map(head.headers),
         body=body,
+        arrival=arrival_of(connection.stream, arrivals),
     )
+    return await handler(request)
+
+
+async def _respond(
+    connection: HttpConnection, response: HttpResponse, among: OpenConnections
+) -> None:
+    """Send a response, the last one of the connection at a stop."""
+    if among.stopping:
+        headers = {**response.headers, "connection": "close"}
+        response = response._replace(headers=headers)
+    await send_response(connection, response)
 
 
 async def send_response(connection: HttpConnection, response: HttpResponse) -> None:
--- a/src/chervilstage/transport/registration.py
+++ b/src/chervilstage/transport/registration.py
@@ -50,7 +50,8 @@
 from .application import Hooks
 from .event_log import log_event
 from .http_connection import HttpRequest, HttpResponse
-from .http_server import error_response, start_http_server
+from .http_endpoint import http_endpoint_hooks
+from .http_server import error_response
 from .peer_link import PeerLink
 
 
@@ -207,14 +208,17 @@
                 log_upstream("upstream_silent", record)
 
     async def start(self, group: TaskGroup) -> None:
-        """Begin to listen."""
-        await start_http_server(group, self.address, self.answer)
+        """Begin to tell the peers."""
         group.start_soon(self.run)
 
     def hooks(self) -> Hooks:
         """Return the life-cycle hooks."""
         return Hooks(name="registration", start=self.start)
 
+    def endpoint_hooks(self) -> Hooks:
+        """Return the life-cycle hooks of what upstreams announce themselves to."""
+        return http_endpoint_hooks("announcements", self.address, self.answer)
+
 
 def log_upstream(event: str, record: UpstreamRecord) -> None:
     """Log an event of one upstream."""
--- a/src/chervilstage/transport/request_service.py
+++ b/src/chervilstage/transport/request_service.py
@@ -169,12 +169,12 @@
         )
         front_ends = list(self.front_ends.values())
         for front_end in front_ends:
-            front_end.stopping = True
-            front_end.stop_listening()
+            front_end.connections.stopping = True
+            front_end.connections.stop_listening()
         await self.membership.drain()
         await anyio.sleep(IDLE_GRACE_SECONDS)
         for front_end in front_ends:
-            front_end.close_idle()
+            front_end.connections.close_idle()
         for front_end in front_ends:
             await front_end.wait_quiet(feeds_too=False)
         while self.keyed.running:
--- a/testing/transport/test_broken_answers.py
+++ b/testing/transport/test_broken_answers.py
@@ -35,7 +35,7 @@
 async def stop(front_end: HttpFrontEnd) -> None:
     """Stop the front end as planned, after what counts as a feed, up to its bound."""
     await anyio.sleep(1.2 * FEED_AFTER_SECONDS)
-    front_end.stopping = True
+    front_end.connections.stopping = True
     front_end.feeds_end.set()
 
 
--- a/testing/transport/test_http_front.py
+++ b/testing/transport/test_http_front.py
@@ -15,15 +15,15 @@
 from chervilstage.errors.upstreams import NoUpstreamError
 from chervilstage.state.configuration import Service, ServiceRules
 from chervilstage.state.counters import Counters
-from chervilstage.transport import http_front
 from chervilstage.transport.http_front import HttpFrontEnd
+from chervilstage.transport.open_connections import FIRST_REQUEST_SECONDS
 from chervilstage.transport.service_requests import ServiceRequests
 
 SERVICE = Service(name="boards", data_centres=("gl-erie",), udp_port=0, tcp_port=0)
 REQUEST = b"GET /free HTTP/1.1\r\nhost: boards\r\n\r\n"
 ANSWER = b"HTTP/1.1 503"
 READ_BYTES = 4096
-SENDS_AFTER_SECONDS = http_front.FIRST_REQUEST_SECONDS / 4
+SENDS_AFTER_SECONDS = FIRST_REQUEST_SECONDS / 4
 
 
 async def refuse(**_: Any) -> None:
@@ -74,8 +74,8 @@
     async with anyio.create_task_group() as group:
         group.start_soon(front_end.serve_connection, entry)
         await anyio.wait_all_tasks_blocked()
-        front_end.stopping = True
-        front_end.close_idle()
+        front_end.connections.stopping = True
+        front_end.connections.close_idle()
         group.start_soon(act, caller)
         await front_end.wait_quiet(feeds_too=True)
     try:
