Save that an upstream leaves before it is acknowledged, and that it has left

Operators of similar systems saw servers that had left in use again after a restart. It could happen here: replicas saved the upstreams every 2 s and without those that have ended. After a loss of power everywhere an upstream that had been told that it gets nothing new came back as ready, and a late announcement brought back one that had left.

A disk that refuses delays nothing.

--- a/src/chervilstage/coordination/upstream_feed.py
+++ b/src/chervilstage/coordination/upstream_feed.py
@@ -109,8 +109,17 @@
 
 
 def all_items(feed: UpstreamFeed, now: float) -> list[FeedItem]:
-    """Return all upstreams that are known."""
-    return [_item(feed, record, now) for record in feed.registry.records.values()]
+    """Return all upstreams that are known, those that have ended included.
+
+    Without these a late announcement would bring them back after a restart.
+    """
+    registry = feed.registry
+    ended = [
+        FeedItem(record=departed.record, age_seconds=0.0, is_gone=True)
+        for departed in registry.departed.values()
+        if departed.has_ended
+    ]
+    return [_item(feed, record, now) for record in registry.records.values()] + ended
 
 
 def live_followers(feed: UpstreamFeed, now: float) -> list[Follower]:
--- a/src/chervilstage/transport/feed_server.py
+++ b/src/chervilstage/transport/feed_server.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskGroup
 
 from ..coordination.replica_apply import newest_routing
@@ -121,6 +122,7 @@
             return
         if before is None or not is_leaving(before):
             log_event("upstream_leaving", **_shown(record))
+            await self.keep_news()
         await self.wait_for_spread(self.feed.changed.get(record.identity.address, 0))
 
     async def depart(self, label: int, incarnation: int | None = None) -> None:
@@ -142,6 +144,21 @@
         take_departure(self.feed, record, replica_clock())
         log_event("upstream_gone", **_shown(record))
         self.notify()
+        await self.keep_news()
+
+    async def keep_news(self) -> None:
+        """Save what is about to be acknowledged: nobody may say it again.
+
+        Calls that come together share one save.
+        """
+        await anyio.lowlevel.checkpoint()
+        self.save(replica_clock())
+
+    def save(self, now: float) -> None:
+        """Save what is known if there is news since the last time."""
+        news = self.feed.news
+        if news != self.saved and self.store.save(all_items(self.feed, now)):
+            self.saved = news
 
     async def wait_for_spread(self, cursor: int) -> None:
         """Wait until the entries that follow have heard of a change, for a time."""
@@ -209,9 +226,7 @@
             await anyio.sleep(SWEEP_SECONDS)
             now = replica_clock()
             forget_silent(self.feed, now)
-            news = self.feed.news
-            if news != self.saved and self.store.save(all_items(self.feed, now)):
-                self.saved = news
+            self.save(now)
 
     async def start(self, group: TaskGroup) -> None:
         """Take what was saved and begin to watch."""
--- a/testing/transport/test_feed_server.py
+++ b/testing/transport/test_feed_server.py
@@ -10,7 +10,13 @@
 import anyio
 import pytest
 
-from chervilstage.coordination.upstream_feed import note_query, take_record
+from chervilstage.coordination.upstream_feed import (
+    all_items,
+    items_since,
+    note_query,
+    take_item,
+    take_record,
+)
 from chervilstage.errors.upstreams import NoFollowerError
 from chervilstage.protocol.kinds import Kind
 from chervilstage.state.configuration import RoutingDocument
@@ -133,3 +139,61 @@
 
     anyio.run(main)
     assert len(server.store.load()) == 1
+
+
+def restarted(server: FeedServer) -> FeedServer:
+    """Return a feed that begins with what another one has saved."""
+    later = FeedServer(
+        feed=UpstreamFeed(run=RUN + 1),
+        driver=server.driver,
+        frames=cast(Any, FakeFrames()),
+        services_of=server.services_of,
+        store=UpstreamStore(folder=server.store.folder),
+    )
+    for item in later.store.load():
+        take_item(later.feed, item, replica_clock())
+    return later
+
+
+def test_an_acknowledged_leave_outlives_a_restart_of_all(server: FeedServer) -> None:
+    """Guards against new flows at an upstream that may rely on getting none."""
+    ask(server, "entry-1", server.feed.cursor)
+    server.store.save(all_items(server.feed, replica_clock()))
+    announce_leaving(server, "entry-1")
+    (record,) = restarted(server).feed.registry.records.values()
+    assert record.phase is UpstreamPhase.LEAVING
+
+
+def test_an_upstream_that_has_left_stays_away_after_a_restart_of_all(
+    server: FeedServer,
+) -> None:
+    """Guards against an upstream that an old file or a late call brings back."""
+    ask(server, "entry-1", server.feed.cursor)
+    server.store.save(all_items(server.feed, replica_clock()))
+    announce_leaving(server, "entry-1")
+    anyio.run(server.depart, LEAVING.label, LEAVING.identity.incarnation)
+    later = restarted(server)
+    assert not later.feed.registry.records
+    for late in (make_record(1), LEAVING._replace(sequence=1)):
+        assert not take_record(later.feed, late, replica_clock())
+    told = items_since(later.feed, make_query(0, run=RUN + 1), replica_clock())
+    assert [item.is_gone for item in told] == [True]
+
+
+def test_a_next_run_of_an_upstream_that_has_left_is_taken_after_a_restart(
+    server: FeedServer,
+) -> None:
+    """Guards against an address that stays closed to the upstream that comes next."""
+    ask(server, "entry-1", server.feed.cursor)
+    anyio.run(server.depart, LEAVING.label, LEAVING.identity.incarnation)
+    later = restarted(server)
+    assert take_record(later.feed, make_record(1, incarnation=2), replica_clock())
+
+
+def test_a_disk_that_refuses_delays_no_acknowledgement(
+    server: FeedServer, tmp_path: Path
+) -> None:
+    """Guards against an upstream that cannot leave while a disk is full."""
+    server.store.folder = tmp_path / "missing"
+    ask(server, "entry-1", server.feed.cursor)
+    assert announce_leaving(server, "entry-1") == [False, True, True]
