--- a/src/chervilstage/coordination/placement.py
+++ b/src/chervilstage/coordination/placement.py
@@ -26,7 +26,7 @@
 SLOW_RATIO = 1.5
 # How much more than the least loaded one an upstream of the own data centre may have
 # to do, in requests per slot.
-OWN_ADVANTAGE = 0.5
+OWN_ADVANTAGE = 0.75
 # An upstream that has been slow is tried again as its last answer ages.
 LATENCY_AGEING_SECONDS = 5.0
 
