Separate what an entry sees of a packet from what it does with it, and split two long functions

Four files of state/ imported each other in a circle, closed by a reset that holds the flow it ends. The decisions have a module of their own now; no behaviour changes.

--- a/bench/tokens.py
+++ b/bench/tokens.py
@@ -17,7 +17,7 @@
 from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.platform.packets import make_codec
 from chervilstage.state.counters import Counters
-from chervilstage.state.flow_packets import Forward
+from chervilstage.state.packet_decisions import Forward
 from chervilstage.state.token_flows import TokenRelayState
 from chervilstage.state.types import Address
 from chervilstage.state.upstream_feed import FeedItem
--- a/src/chervilstage/coordination/token_relay.py
+++ b/src/chervilstage/coordination/token_relay.py
@@ -16,14 +16,8 @@
 
 from random import Random
 
-from ..state.flow_packets import (
-    NUMBER_SPACE,
-    DropPacket,
-    FlowPacket,
-    Forward,
-    PacketDecision,
-    ResetFlow,
-)
+from ..state.flow_packets import NUMBER_SPACE, FlowPacket
+from ..state.packet_decisions import DropPacket, Forward, PacketDecision, ResetFlow
 from ..state.registry import shares_label
 from ..state.token_flows import TokenFlow, TokenRelayState
 from .flow_accounting import (
--- a/src/chervilstage/transport/entry_daemon.py
+++ b/src/chervilstage/transport/entry_daemon.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
 
 from ..coordination.flows import end_flows_out
 from ..protocol.settings import EntrySettings, link_rate, peers_of
+from ..state.configuration import Configuration
 from ..state.counters import Counters
 from ..state.flow_state import FlowState
 from ..state.in_force import ConfigurationInForce
@@ -194,22 +196,32 @@
         on_held=flow_link.wake,
         link=Link(bytes_per_second=link_rate(settings)),
     )
-    registration = Registration(
+    return EntryServices(
+        capacity=capacity,
+        requests=requests,
+        flow_link=flow_link,
+        front_ends=front_ends,
+        registration=_build_registration(
+            settings, state, links, front_ends.configuration
+        ),
+    )
+
+
+def _build_registration(
+    settings: EntrySettings,
+    state: EntryState,
+    links: EntryLinks,
+    configuration: Callable[[], Configuration],
+) -> Registration:
+    return Registration(
         address=Address(host=settings["host"], port=settings["platform_port"]),
         registry=state.registry,
-        configuration=front_ends.configuration,
+        configuration=configuration,
         link=links.link,
         members=state.members,
         counters=state.counters,
         rng=Random(),
     )
-    return EntryServices(
-        capacity=capacity,
-        requests=requests,
-        flow_link=flow_link,
-        front_ends=front_ends,
-        registration=registration,
-    )
 
 
 def _build_configuration_client(
--- a/src/chervilstage/transport/http_server.py
+++ b/src/chervilstage/transport/http_server.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from functools import partial
 from ssl import SSLContext, SSLError
 
 import anyio
@@ -76,20 +77,24 @@
             await accept_until_stopped(listener, serve, group, connections.listening)
         ended.set()
 
-    async def drain() -> None:
-        """Answer what has been sent, and close the connections."""
-        connections.stopping = True
-        connections.stop_listening()
-        await ended.wait()
-        # The connections that were accepted last begin to wait for a request.
-        await anyio.sleep(LAST_READ_SECONDS)
-        connections.close_idle()
-        with anyio.move_on_after(DRAIN_SECONDS):
-            await connections.wait_quiet()
-
     group.start_soon(watch_arrivals, arrivals)
     group.start_soon(listen)
-    return drain
+    return partial(_drain, connections, ended)
+
+
+async def _drain(connections: OpenConnections, ended: anyio.Event) -> None:
+    """Answer what has been sent, and close the connections.
+
+    :param ended: set once no further connection is accepted.
+    """
+    connections.stopping = True
+    connections.stop_listening()
+    await ended.wait()
+    # The connections that were accepted last begin to wait for a request.
+    await anyio.sleep(LAST_READ_SECONDS)
+    connections.close_idle()
+    with anyio.move_on_after(DRAIN_SECONDS):
+        await connections.wait_quiet()
 
 
 async def _handshake(stream: ByteStream, tls: SSLContext) -> ByteStream | None:
--- a/src/chervilstage/transport/relay_log.py
+++ b/src/chervilstage/transport/relay_log.py
@@ -10,8 +10,9 @@
 from ..coordination.flow_tokens import TOKEN_MASK, flow_token
 from ..errors import ChervilstageError
 from ..state.counters import Counters
-from ..state.flow_packets import DropPacket, FlowPacket, Forward, ResetFlow
+from ..state.flow_packets import FlowPacket
 from ..state.link import LinkTraffic
+from ..state.packet_decisions import DropPacket, Forward, ResetFlow
 from ..state.routing import Endpoint
 from ..state.token_flows import NEVER, TokenFlow, TokenRelayState
 from ..state.types import UpstreamRecord
--- a/src/chervilstage/transport/replica_formation.py
+++ b/src/chervilstage/transport/replica_formation.py
@@ -158,6 +158,7 @@
         answers: list[Hello] = []
 
         async def exchange(peer: Peer) -> None:
+            """Keep the answer of one replica, if it gives any."""
             hello = await self.try_hello(peer)
             if hello is not None:
                 answers.append(hello)
--- a/src/chervilstage/transport/token_relay.py
+++ b/src/chervilstage/transport/token_relay.py
@@ -16,8 +16,9 @@
 from ..coordination.token_relay import relay_packet, sweep_flows
 from ..errors import ChervilstageError
 from ..state.counters import Counters
-from ..state.flow_packets import DropPacket, FlowPacket, Forward, ResetFlow
+from ..state.flow_packets import FlowPacket
 from ..state.link_queue import QueuedPacket
+from ..state.packet_decisions import DropPacket, Forward, ResetFlow
 from ..state.routing import Endpoint
 from ..state.token_flows import TokenRelayState
 from ..state.types import Address
--- a/testing/coordination/test_flow_evidence.py
+++ b/testing/coordination/test_flow_evidence.py
@@ -7,7 +7,7 @@
 
 from chervilstage.coordination.flow_tokens import flow_token
 from chervilstage.coordination.relay_directory import FORGOTTEN_SECONDS, forget_old
-from chervilstage.state.flow_packets import DropPacket, Forward, ResetFlow
+from chervilstage.state.packet_decisions import DropPacket, Forward, ResetFlow
 from chervilstage.state.types import Address
 from chervilstage.transport.token_relay import HELD_REASONS
 from testing.support.token_relays import FRONT, RelayDriver, make_record
--- a/testing/coordination/test_link_admission.py
+++ b/testing/coordination/test_link_admission.py
@@ -10,7 +10,7 @@
 from chervilstage.coordination.flow_tokens import flow_token
 from chervilstage.coordination.relay_directory import put_routing
 from chervilstage.coordination.token_relay import sweep_flows
-from chervilstage.state.flow_packets import DropPacket, Forward, ResetFlow
+from chervilstage.state.packet_decisions import DropPacket, Forward, ResetFlow
 from chervilstage.state.routing import endpoint_of
 from chervilstage.state.types import Address
 from testing.support.token_relays import (
--- a/testing/coordination/test_link_schedule.py
+++ b/testing/coordination/test_link_schedule.py
@@ -17,13 +17,7 @@
 )
 from chervilstage.coordination.suspicion import is_suspect
 from chervilstage.coordination.token_relay import relay_packet
-from chervilstage.state.flow_packets import (
-    NUMBER_SPACE,
-    DropPacket,
-    FlowPacket,
-    Forward,
-    PacketDecision,
-)
+from chervilstage.state.flow_packets import NUMBER_SPACE, FlowPacket
 from chervilstage.state.link import Link
 from chervilstage.state.link_queue import (
     MAXIMUM_BYTES,
@@ -31,6 +25,7 @@
     LinkQueue,
     QueuedPacket,
 )
+from chervilstage.state.packet_decisions import DropPacket, Forward, PacketDecision
 from chervilstage.state.types import Address
 from testing.support.token_relays import (
     CALLER_HOST,
--- a/testing/coordination/test_open_flows.py
+++ b/testing/coordination/test_open_flows.py
@@ -10,7 +10,7 @@
 from chervilstage.coordination.flow_tokens import provisional_token
 from chervilstage.coordination.relay_directory import forget_old, put_routing
 from chervilstage.coordination.token_relay import sweep_flows
-from chervilstage.state.flow_packets import Forward, ResetFlow
+from chervilstage.state.packet_decisions import Forward, ResetFlow
 from chervilstage.state.types import UpstreamPhase, UpstreamRecord
 from testing.support.token_relays import (
     SERVICE,
--- a/testing/coordination/test_silent_upstreams.py
+++ b/testing/coordination/test_silent_upstreams.py
@@ -11,7 +11,7 @@
     note_silence,
     reaches_nobody,
 )
-from chervilstage.state.flow_packets import Forward
+from chervilstage.state.packet_decisions import Forward
 from testing.support.token_relays import RelayDriver, make_record
 
 
--- a/testing/coordination/test_token_relay.py
+++ b/testing/coordination/test_token_relay.py
@@ -13,7 +13,7 @@
 )
 from chervilstage.coordination.suspicion import is_suspect
 from chervilstage.coordination.token_relay import REMOVED_ROUTE_SECONDS, sweep_flows
-from chervilstage.state.flow_packets import DropPacket, Forward, ResetFlow
+from chervilstage.state.packet_decisions import DropPacket, Forward, ResetFlow
 from chervilstage.state.types import Address, UpstreamPhase
 from testing.support.token_relays import (
     FRONT,
--- a/testing/flow_simulation/paths.py
+++ b/testing/flow_simulation/paths.py
@@ -5,12 +5,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from chervilstage.state.flow_packets import (
-    NUMBER_SPACE,
-    DropPacket,
-    Forward,
-    ResetFlow,
-)
+from chervilstage.state.flow_packets import NUMBER_SPACE
+from chervilstage.state.packet_decisions import DropPacket, Forward, ResetFlow
 from chervilstage.state.types import Address
 from chervilstage.transport.token_relay import HELD_REASONS
 from testing.support.token_relays import RelayDriver
--- a/testing/link_simulation/attempts.py
+++ b/testing/link_simulation/attempts.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from random import Random
 
-from chervilstage.state.flow_packets import NUMBER_SPACE, FlowPacket, Forward
+from chervilstage.state.flow_packets import NUMBER_SPACE, FlowPacket
+from chervilstage.state.packet_decisions import Forward
 from chervilstage.state.types import Address
 from testing.support.timeline import Action, Timeline
 from testing.support.token_relays import make_packet
--- a/testing/link_simulation/entries.py
+++ b/testing/link_simulation/entries.py
@@ -15,8 +15,9 @@
 )
 from chervilstage.coordination.relay_directory import put_routing
 from chervilstage.coordination.token_relay import relay_packet
-from chervilstage.state.flow_packets import FlowPacket, Forward, ResetFlow
+from chervilstage.state.flow_packets import FlowPacket
 from chervilstage.state.link_queue import QueuedPacket
+from chervilstage.state.packet_decisions import Forward, ResetFlow
 from chervilstage.state.routing import Routing
 from chervilstage.state.types import UpstreamRecord
 from chervilstage.transport.token_relay import HELD_REASONS, HELD_SECONDS
--- a/testing/platform/test_unseen_deployments.py
+++ b/testing/platform/test_unseen_deployments.py
@@ -26,7 +26,7 @@
 from chervilstage.coordination.routing import routing_problems
 from chervilstage.platform.documents import decode_heartbeat, decode_routing
 from chervilstage.platform.settings import NodeSettings, read_settings
-from chervilstage.state.flow_packets import Forward
+from chervilstage.state.packet_decisions import Forward
 from chervilstage.state.routing import Routing
 from chervilstage.state.types import UpstreamRecord
 from testing.support.token_relays import RelayDriver
--- a/testing/support/token_relays.py
+++ b/testing/support/token_relays.py
@@ -11,8 +11,9 @@
     take_items,
 )
 from chervilstage.coordination.token_relay import relay_packet
-from chervilstage.state.flow_packets import FlowPacket, Forward, PacketDecision
+from chervilstage.state.flow_packets import FlowPacket
 from chervilstage.state.link_queue import QueuedPacket
+from chervilstage.state.packet_decisions import Forward, PacketDecision
 from chervilstage.state.routing import (
     Route,
     RoutedService,
--- a/testing/transport/test_relay_log.py
+++ b/testing/transport/test_relay_log.py
@@ -10,7 +10,7 @@
 from chervilstage.coordination.flow_tokens import flow_token
 from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.state.counters import Counters
-from chervilstage.state.flow_packets import Forward, ResetFlow
+from chervilstage.state.packet_decisions import Forward, ResetFlow
 from chervilstage.state.types import Address
 from chervilstage.transport.log_budget import BURST_LINES
 from chervilstage.transport.loop_lateness import KEPT_SECONDS, LoopLateness
--- a/testing/transport/test_token_entry.py
+++ b/testing/transport/test_token_entry.py
@@ -7,7 +7,7 @@
 from chervilstage.coordination.token_relay import relay_packet
 from chervilstage.state.configuration import RoutingDocument
 from chervilstage.state.counters import Counters
-from chervilstage.state.flow_packets import ResetFlow
+from chervilstage.state.packet_decisions import ResetFlow
 from chervilstage.state.types import Address, Peer
 from chervilstage.state.upstream_feed import FeedAnswer, FeedItem
 from chervilstage.transport.clock import replica_clock
