Send an idempotent request again on a new connection after an answer that is not its own

Cause: each further attempt took another kept connection of that upstream, whose answer had no name either, until the attempts were used up. The stand-in named neither its feeds nor its refusals.

Such a request now goes out on a new connection, where any answer is its own, once without a charge to the retry budget. The stand-in echoes the attempt in all answers. test_an_upstream_that_names_no_more_answers_is_asked_on_a_new_connection failed before.

--- a/src/chervilstage/transport/service_requests.py
+++ b/src/chervilstage/transport/service_requests.py
@@ -68,24 +68,31 @@
         """Send a request until an answer begins or no further attempt may be made.
 
         A request that is not idempotent goes out on a new connection, because a kept
-        one that the upstream has just closed would leave its outcome unknown.
+        one that the upstream has just closed would leave its outcome unknown. One that
+        got an answer of another attempt goes out again on a new connection, once
+        without a charge: nothing says that the upstream is overloaded.
         """
         note_first_attempt(self.budget, self.rules().retry_budget)
         excluded: frozenset[Address] = frozenset()
         last: Unknown | None = None
+        fresh = not idempotent
         for attempt in range(1, MAXIMUM_ATTEMPTS + 1):
             try:
                 permit = await self.acquire(excluded, deadline)
             except (NoUpstreamError, OverloadedError) as error:
                 self.counters.add("requests_shed", f"{self.name} {error.code}")
                 return last or NotRun(reason=str(error))
-            begun = await self.attempt(permit, request, deadline, not idempotent)
+            begun = await self.attempt(permit, request, deadline, fresh)
             if isinstance(begun, Exchange):
                 return begun
             self.counters.add("attempts_failed", f"{self.name} {begun.result.value}")
             last = begun.outcome if isinstance(begun.outcome, Unknown) else last
             left = deadline - anyio.current_time()
             replayable = request.rest is None and attempt < MAXIMUM_ATTEMPTS
+            if begun.is_crossed and replayable and not fresh:
+                fresh = True
+                self.counters.add("requests_retried", self.name)
+                continue
             if not replayable or not take_retry(
                 self.budget, begun.outcome, idempotent, left
             ):
--- a/src/chervilstage/transport/standin_requests.py
+++ b/src/chervilstage/transport/standin_requests.py
@@ -136,7 +136,7 @@
         :param arrived: when its head arrived.
         """
         if request.target.startswith(b"/feed"):
-            await self.serve_feed(connection)
+            await self.serve_feed(connection, request)
         elif request.target == b"/health":
             await send_response(connection, self.health())
         else:
@@ -155,7 +155,9 @@
         service = self.name.service
         refusal = admit(self.state, arrival, service, time.time(), self.rng)
         if refusal:
-            await send_response(connection, refused(refusal))
+            response = refused(refusal)
+            named = {**response.headers, **echoed(headers)}
+            await send_response(connection, response._replace(headers=named))
             return
         completed = False
         try:
@@ -211,10 +213,9 @@
             "sha256": hashlib.sha256(body).hexdigest(),
             "padding": padding,
         }
-        echoed = {name: headers[name] for name in ECHOED_HEADERS if name in headers}
         return HttpResponse(
             status=200,
-            headers={"content-type": "application/json", **echoed},
+            headers={"content-type": "application/json", **echoed(headers)},
             body=json.dumps(content).encode(),
         )
 
@@ -243,13 +244,16 @@
             self.held = None
         return held.response
 
-    async def serve_feed(self, connection: HttpConnection) -> None:
+    async def serve_feed(
+        self, connection: HttpConnection, request: h11.Request
+    ) -> None:
         """Send a line at the feed's interval until the caller leaves or feeds end."""
         headers = [
             ("content-type", "text/plain"),
             ("transfer-encoding", "chunked"),
             (FEED_HEADER, "1"),
             ("load-upstream", self.name.address),
+            *echoed(header_map(request.headers)).items(),
         ]
         self.state.count(feeds=1)
         self.state.open_feeds += 1
@@ -279,6 +283,11 @@
         )
 
 
+def echoed(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers that name a request and its attempt, for its answer."""
+    return {name: headers[name] for name in ECHOED_HEADERS if name in headers}
+
+
 def arrival_of(headers: dict[str, str], arrived: float) -> Arrival:
     """Return what a stand-in needs to know of a request.
 
--- a/src/chervilstage/transport/upstream_exchange.py
+++ b/src/chervilstage/transport/upstream_exchange.py
@@ -62,10 +62,14 @@
 
 
 class Ended(NamedTuple):
-    """An attempt without an answer, and what the capacity is told of it."""
+    """An attempt without an answer, and what the capacity is told of it.
+
+    ``is_crossed`` tells that an answer came which is not known to be its own.
+    """
 
     outcome: NotRun | Unknown
     result: AttemptResult
+    is_crossed: bool = False
 
 
 async def begin_exchange(
@@ -110,7 +114,7 @@
     except AnswerCrossedError as error:
         pool.counters.add("answers_dropped", "crossed")
         outcome = Unknown(reason=str(error))
-        return Ended(outcome=outcome, result=AttemptResult.FAILED)
+        return Ended(outcome=outcome, result=AttemptResult.FAILED, is_crossed=True)
     except (*CLOSED, ChervilstageError, h11.LocalProtocolError) as error:
         outcome = Unknown(reason=f"{type(error).__name__} {error}".strip())
         return Ended(outcome=outcome, result=AttemptResult.FAILED)
--- a/testing/transport/test_reused_connections.py
+++ b/testing/transport/test_reused_connections.py
@@ -106,3 +106,62 @@
             group.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+async def name_every_other(
+    upstream: RawUpstream, stream: SocketStream, attempt: bytes, number: int
+) -> None:
+    """Name the attempts of odd answers only."""
+    await stream.send(whole(f"answer {number}", attempt if number % 2 else None))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [name_only_the_first, name_the_attempt_before, name_every_other],
+    ids=lambda answer: answer.__name__,
+)
+def test_a_caller_beside_an_answer_of_another_attempt_gets_its_own(
+    answer: Answer,
+) -> None:
+    """Guards against an error for a request that may be sent once more at once."""
+
+    async def main() -> None:
+        upstream = RawUpstream(answer=answer)
+        async with anyio.create_task_group() as group:
+            requests = make_requests(await upstream.start(group))
+            for _ in range(REQUESTS):
+                asked = upstream.requests
+                outcome = await run_idempotent(requests, "/free")
+                assert isinstance(outcome, Answered), outcome
+                number = int(outcome.answer.body.removeprefix(b"answer "))
+                assert asked < number == upstream.requests
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def name_the_first_few(
+    upstream: RawUpstream, stream: SocketStream, attempt: bytes, number: int
+) -> None:
+    """Name the first answers, slowly, and none after them."""
+    await anyio.sleep(LATE_SECONDS)
+    await stream.send(
+        whole(f"answer {number}", attempt if number <= REQUESTS else None)
+    )
+
+
+def test_an_upstream_that_names_no_more_answers_is_asked_on_a_new_connection() -> None:
+    """Guards against all attempts on kept connections, so that none is answered."""
+
+    async def main() -> None:
+        upstream = RawUpstream(answer=name_the_first_few)
+        async with anyio.create_task_group() as group:
+            requests = make_requests(await upstream.start(group))
+            async with anyio.create_task_group() as together:
+                for _ in range(REQUESTS):
+                    together.start_soon(run_idempotent, requests, "/free")
+            assert upstream.connections == REQUESTS
+            assert isinstance(await run_idempotent(requests, "/free"), Answered)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
