--- a/src/chervilstage/coordination/placement.py
+++ b/src/chervilstage/coordination/placement.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence, Set as AbstractSet
 from math import exp
 from random import Random
-from statistics import median
 
 from ..state.routing import Route, RoutedService
 from ..state.token_flows import TokenRelayState, UpstreamLoad
@@ -112,7 +111,8 @@
     for record in records:
         if latency := state.load_of(record).latency:
             known[record.data_centre].append(latency)
-    return min(map(median, known.values()), default=0.0)
+    middle = [sorted(latencies)[len(latencies) // 2] for latencies in known.values()]
+    return min(middle, default=0.0)
 
 
 def _wait(
