--- a/review/2/case.py
+++ b/review/2/case.py
@@ -56,26 +56,28 @@
     watcher = threading.Thread(target=watch, args=(deployment, record, core, ends, stopped))
     watcher.start()
     late = 0
-    for number in range(INVALID):
-        version = 2 * number + 2
-        began = time.monotonic()
-        sender = None
-        if TROUBLE:
-            body = configuration(version).decode().encode("utf-16")
-            sender = threading.Thread(target=send_invalid, args=(deployment, record, core, body))
-            sender.start()
-        time.sleep(VALID_AFTER_S)
-        sent = time.monotonic()
-        deployment.order(core, "POST", "/configuration/put", configuration(version + 1), 2 * ACK_TIMEOUT_S)
-        seconds = time.monotonic() - sent
-        late += seconds > ACK_TIMEOUT_S
-        record(f"valid configuration {version + 1} of the other operator: {seconds:.1f} s")
-        if sender:
-            sender.join()
-        time.sleep(max(0, began + GAP_S - time.monotonic()))
-    time.sleep(3)
-    stopped.set()
-    watcher.join()
+    try:
+        for number in range(INVALID):
+            version = 2 * number + 2
+            began = time.monotonic()
+            sender = None
+            if TROUBLE:
+                body = configuration(version).decode().encode("utf-16")
+                sender = threading.Thread(target=send_invalid, args=(deployment, record, core, body))
+                sender.start()
+            time.sleep(VALID_AFTER_S)
+            sent = time.monotonic()
+            deployment.order(core, "POST", "/configuration/put", configuration(version + 1), 2 * ACK_TIMEOUT_S)
+            seconds = time.monotonic() - sent
+            late += seconds > ACK_TIMEOUT_S
+            record(f"valid configuration {version + 1} of the other operator: {seconds:.1f} s")
+            if sender:
+                sender.join()
+            time.sleep(max(0, began + GAP_S - time.monotonic()))
+        time.sleep(3)
+    finally:
+        stopped.set()
+        watcher.join()
     for machine in core:
         log = (deployment.folder / f"{machine.name}.log").read_text()
         record(f"errors in the log of {machine.name}: {sorted(set(ERROR.findall(log)))}")
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -290,6 +291,7 @@
 
 def run_case(folder, case):
     """Run a case and return the exit status: 1 broken, 0 held, 2 could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that all processes are ended
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
     deployment = None
--- a/review/common/flows.py
+++ b/review/common/flows.py
@@ -201,6 +201,7 @@
             if request_id.encode() in answer.data:
                 flow.seq = (flow.seq + len(text)) % SPACE
                 flow.ack, flow.echo = (answer.seq + len(answer.data)) % SPACE, answer.echo
+                self._send(flow, ACK)
                 return "answered"
         return "no answer"
 
